--- a/cmd/currantstile/main.go
+++ b/cmd/currantstile/main.go
@@ -43,6 +43,12 @@
 			usage: usageServe,
 			run:   runServe,
 		},
+		{
+			name:  "node",
+			short: "run one instance on the users' platform",
+			usage: usageNode,
+			run:   runNode,
+		},
 		{
 			name:  "contract",
 			short: "list, show, apply and remove contracts",
--- /dev/null
+++ b/cmd/currantstile/node.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"currantstile/model"
+	"currantstile/node"
+	"currantstile/platform"
+	"currantstile/rest"
+	"currantstile/upst"
+)
+
+const usageNode = `
+currantstile node [-settings FILE] [-log-level LEVEL]
+
+Runs one instance on the users' platform until SIGINT or SIGTERM, then stops
+within the platform's grace period. It keeps nothing on its machine: what must
+last lies in the platform's store.
+
+  -settings FILE      the platform's settings file (default: what the variable
+                      CURRANTSTILE_CONFIG names)
+  -log-level LEVEL    debug, info, warn or error (default info)
+
+The log goes to standard output as one JSON object a line. SIGHUP reads the
+settings file again and reports its faults; addresses change at a start only.
+
+Example:
+  CURRANTSTILE_CONFIG=/etc/currantstile/local.yaml currantstile node
+`
+
+const (
+	// logLines is how many lines may wait for the log's reader; further ones are
+	// dropped.
+	logLines = 4096
+	// storeDialTimeout bounds the opening of a connection to the store, and
+	// storeIdleConns how many are kept.
+	storeDialTimeout = 500 * time.Millisecond
+	storeIdleConns   = 6
+)
+
+func runNode(ctx context.Context, args []string, _, _ io.Writer) error {
+	path, level := "", ""
+	fs := newFlags("node")
+	fs.StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	fs.StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	if err := parseNoArgs(fs, args); err != nil {
+		return err
+	}
+	var faults model.FieldErrors
+	logFlags{
+		level:  level,
+		format: "json",
+	}.validate(&faults)
+	if path == "" {
+		faults.Add("settings", "names no file, and %s is not set", platform.SettingsVariable)
+	}
+	if err := faults.Err(); err != nil {
+		return asUsage("node", err)
+	}
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return asUsage("node", err)
+	}
+	logger := log.Logger{
+		Level: log.ParseLevel(level),
+		Writer: &log.AsyncWriter{
+			ChannelSize:   logLines,
+			DiscardOnFull: true,
+			Writer: &log.IOWriter{
+				Writer: os.Stdout,
+			},
+		},
+	}
+	conns := &upst.Pool{}
+	n := &node.Node{
+		Settings: s,
+		KV: &platform.Store{
+			Addr: s.Store,
+			HTTP: rest.NewClient(storeDialTimeout, storeIdleConns),
+		},
+		Sources: platform.Sources{},
+		Codec:   platform.Codec{},
+		Orders: &platform.Orders{
+			Conns: conns,
+		},
+		Conns: conns,
+		Log:   logger,
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	awaitStop(ctx, path, logger)
+	n.Stop()
+	return nil
+}
+
+// awaitStop waits for ctx to end, and checks the settings file at each SIGHUP.
+func awaitStop(ctx context.Context, path string, logger log.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+			_, err := platform.ReadSettings(path)
+			logger.Info().Err(err).Msg("node: settings file read again")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/conf/conf.go
@@ -0,0 +1,272 @@
+// Package conf holds the configuration that an instance serves by: routes by
+// host and path, services, organisations with their keys and limits, and the
+// bounds on what callers send. A Config is built once and never changed.
+//
+// # Usage
+//
+//	c, err := conf.New(document)
+//	route, ok := c.Route("ficu95.example", "/notes/2f")
+//	org, ok := c.OrganisationOf(key)
+package conf
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"currantstile/model"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind string
+
+// The kinds of routes.
+const (
+	// KindSafe requests may run any number of times.
+	KindSafe Kind = "safe"
+	// KindUnsafe requests run once at most.
+	KindUnsafe Kind = "unsafe"
+	// KindStream requests are answered by a series of events; they run once at
+	// most unless the route is resumable.
+	KindStream Kind = "stream"
+)
+
+// Share is one service of a route, with its weight among them.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says what is done with the requests of one host and path prefix.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Shares are the services that the route's requests go to.
+	Shares []Share
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to its first event, that counts
+	// as prompt.
+	Objective time.Duration
+	// MaxGap is the longest pause between events that counts as prompt.
+	MaxGap time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	// MaxTargets bounds how many targets one request may be sent to.
+	MaxTargets int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another target after an event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run again once it may
+// have run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe
+}
+
+// Model is a base model of an engine service.
+type Model struct {
+	Name     string
+	Adapters int
+}
+
+// Engine describes the targets of a service that run models.
+type Engine struct {
+	// Slots is how many requests a target runs at once.
+	Slots int
+	// MemoryTokens is the memory for the tokens of all running requests.
+	MemoryTokens int
+	// AdapterSlots is how many adapters a target holds, those on their way
+	// included.
+	AdapterSlots int
+	Models       []Model
+}
+
+// Service is a set of targets that answer the same requests.
+type Service struct {
+	Name string
+	// MaxConns is how many connections a target takes from all instances.
+	MaxConns int
+	// ColdTime is how long a target is cold after its start, in which it bears
+	// ColdRate requests a second.
+	ColdTime time.Duration
+	ColdRate float64
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Organisation is a customer with its keys and its limit in tokens.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority overrides that of the route where HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Rate is in tokens a second and Burst in tokens; Rate 0 means no limit.
+	Rate  int64
+	Burst int64
+	// ByTokens counts requests by their tokens, and PlainTokens is what a
+	// request without any counts as. Otherwise each request counts as one.
+	ByTokens    bool
+	PlainTokens int64
+}
+
+// Cost is what a request with so many tokens takes from the limit.
+func (o *Organisation) Cost(tokens int64) int64 {
+	switch {
+	case !o.ByTokens:
+		return 1
+	case tokens <= 0:
+		return o.PlainTokens
+	default:
+		return tokens
+	}
+}
+
+// Limits bound what callers send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Defaults of Limits, for a configuration that leaves them out.
+const (
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultMaxBodyBytes   = 4 << 20
+	DefaultHeaderTimeout  = 3 * time.Second
+	DefaultIdleTimeout    = 15 * time.Second
+)
+
+// Defaults fills the limits that were left out.
+func (l *Limits) Defaults() {
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = DefaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = DefaultIdleTimeout
+	}
+}
+
+// Document is a configuration as its source gives it.
+type Document struct {
+	// Version grows with each change.
+	Version       uint64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// Validate returns every fault of the document at once.
+func (d *Document) Validate() error {
+	var errs model.FieldErrors
+	services := make(map[string]bool, len(d.Services))
+	for _, s := range d.Services {
+		services[s.Name] = true
+	}
+	for _, r := range d.Routes {
+		switch r.Kind {
+		case KindSafe, KindUnsafe, KindStream:
+		default:
+			errs.Add("routes."+r.Name, "kind %q is not known", string(r.Kind))
+		}
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			errs.Add("routes."+r.Name, "prefix %q does not begin and end with a slash", r.Prefix)
+		}
+		for _, s := range r.Shares {
+			if !services[s.Service] {
+				errs.Add("routes."+r.Name, "service %q is not known", s.Service)
+			}
+		}
+	}
+	return errs.Err()
+}
+
+// Config answers look-ups in one document.
+type Config struct {
+	Document
+	hosts    map[string][]*Route
+	services map[string]*Service
+	orgs     map[string]*Organisation
+	keys     map[string]*Organisation
+}
+
+// New indexes a document. It returns the document's faults.
+func New(d Document) (*Config, error) {
+	d.Limits.Defaults()
+	if err := d.Validate(); err != nil {
+		return nil, err
+	}
+	c := &Config{
+		Document: d,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]*Service, len(d.Services)),
+		orgs:     make(map[string]*Organisation, len(d.Organisations)),
+		keys:     make(map[string]*Organisation),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, routes := range c.hosts {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Prefix) > len(routes[j].Prefix)
+		})
+	}
+	for i := range c.Services {
+		c.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		c.orgs[o.Name] = o
+		for _, k := range o.Keys {
+			c.keys[k] = o
+		}
+	}
+	return c, nil
+}
+
+// Route returns the route of a host with the longest prefix of the path.
+func (c *Config) Route(host, path string) (*Route, bool) {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of that name.
+func (c *Config) Service(name string) (*Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Organisation returns the organisation of that name.
+func (c *Config) Organisation(name string) (*Organisation, bool) {
+	o, ok := c.orgs[name]
+	return o, ok
+}
+
+// OrganisationOf returns the organisation that holds a key.
+func (c *Config) OrganisationOf(key string) (*Organisation, bool) {
+	o, ok := c.keys[key]
+	return o, ok
+}
+
+// NeedsKeys reports whether callers of routes that are not public present keys.
+func (c *Config) NeedsKeys() bool {
+	return len(c.Organisations) > 0
+}
--- /dev/null
+++ b/gate/router.go
@@ -0,0 +1,425 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+
+	"currantstile/call"
+	"currantstile/conf"
+	"currantstile/mgmt"
+	"currantstile/peer"
+	"currantstile/roster"
+	"currantstile/route"
+	"currantstile/sched"
+	"currantstile/wire"
+)
+
+const (
+	// askTimeout bounds an ask of another instance, orders included.
+	askTimeout = 600 * time.Millisecond
+	// silentTime is how long the targets of a manager that did not answer are
+	// left out.
+	silentTime = 700 * time.Millisecond
+	// nearChoices are asked first, and allChoices at most.
+	nearChoices = 4
+	allChoices  = 8
+	// eagerShare of the objective is what the first choices may take, and
+	// promptShare what any may take that counts as prompt.
+	eagerShare  = 0.35
+	promptShare = 0.85
+	// lateShare of the time that is left is what a late answer may take to
+	// begin.
+	lateShare = 0.8
+	// noteTime is how long notes are gathered before they are sent.
+	noteTime    = 25 * time.Millisecond
+	noteTimeout = 500 * time.Millisecond
+	// forgetTime is how long what is known of an unseen target is kept.
+	forgetTime = 30 * time.Second
+)
+
+// Router finds the targets for requests. Its exported fields are set before Run.
+type Router struct {
+	Self string
+	Zone string
+	Book *roster.Book
+	// Manager is this instance's own, which is asked without a call.
+	Manager *mgmt.Manager
+	Peers   *peer.Pool
+	Budget  *sched.Budget
+	Log     log.Logger
+
+	balancer sched.Balancer
+	mu       sync.Mutex
+	silent   map[string]time.Time
+	notes    map[string]map[string][]sched.Note
+	wake     chan struct{}
+	once     sync.Once
+}
+
+// Place is the right to send a request to a target.
+type Place struct {
+	Target roster.Target
+	// Version is the adapter version that the target has to hold; 0 is any.
+	Version uint64
+
+	router *Router
+	// id names the grant, and manager who gave it; without a manager the place
+	// is one of the balancer's.
+	id      string
+	manager string
+}
+
+// endKind is how a sending ended.
+type endKind = sched.NoteKind
+
+const (
+	endWhole       = sched.NoteEnd
+	endNotRun      = sched.NoteNotRun
+	endMisdirected = sched.NoteMisdirected
+	endUnreachable = sched.NoteUnreachable
+	endFailed      = sched.NoteFailed
+	endLeft        = sched.NoteLeft
+)
+
+// first notes the first bytes of an answer.
+func (p *Place) first(sent time.Time) {
+	if p.manager != "" {
+		p.router.note(p, sched.NoteFirst, sent)
+	}
+}
+
+// end gives the place back.
+func (p *Place) end(sent time.Time, kind endKind) {
+	if p.manager == "" {
+		p.router.balancer.Done(time.Now(), p.Target.ID, kind)
+		return
+	}
+	p.router.note(p, kind, sent)
+}
+
+// load takes in a target's word about its load.
+func (p *Place) load(a call.Answer) {
+	if p.manager == "" {
+		p.router.balancer.Told(time.Now(), p.Target.ID, a.Running, a.Waiting)
+	}
+}
+
+func (r *Router) init() {
+	r.once.Do(func() {
+		r.silent = make(map[string]time.Time)
+		r.notes = make(map[string]map[string][]sched.Note)
+		r.wake = make(chan struct{}, 1)
+	})
+}
+
+// Place finds a target for a request, leaving out those that were tried. It
+// returns nil and a reason where there is none.
+func (r *Router) Place(ctx context.Context, x *Exchange, tried map[string]bool) (*Place, string) {
+	r.init()
+	svc, ok := r.service(x)
+	if !ok {
+		return nil, "no-service"
+	}
+	if len(tried) == 0 {
+		r.Budget.Request(time.Now(), svc.Name)
+	}
+	view := r.Book.View()
+	var targets []*roster.Target
+	for _, t := range view.Service(svc.Name) {
+		if view.Usable(t) && !tried[t.ID] {
+			targets = append(targets, t)
+		}
+	}
+	if len(targets) == 0 {
+		return nil, "no-target"
+	}
+	if svc.Engine == nil {
+		return r.plain(svc, view, targets)
+	}
+	return r.engine(ctx, x, view, targets)
+}
+
+// service is the service that a request goes to, by its ID among the shares of
+// its route.
+func (r *Router) service(x *Exchange) (*conf.Service, bool) {
+	total := 0
+	for _, s := range x.Route.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return nil, false
+	}
+	pick := int(xxhash.Sum64String(x.Call.ID) % uint64(total))
+	for _, s := range x.Route.Shares {
+		if pick -= s.Weight; pick < 0 {
+			return x.cfg.Service(s.Service)
+		}
+	}
+	return nil, false
+}
+
+// MayRepeat takes one repeat of the budget of a request's service.
+func (r *Router) MayRepeat(now time.Time, x *Exchange) bool {
+	svc, ok := r.service(x)
+	return ok && r.Budget.Repeat(now, svc.Name, len(r.Book.View().Instances()))
+}
+
+// plain chooses a target of a plain service.
+func (r *Router) plain(svc *conf.Service, view *roster.View, targets []*roster.Target) (*Place, string) {
+	now := time.Now()
+	choices := make([]sched.Choice, 0, len(targets))
+	for _, t := range targets {
+		choices = append(choices, sched.Choice{
+			ID:       t.ID,
+			Slots:    t.Slots,
+			Near:     t.Zone == r.Zone,
+			Cold:     svc.ColdRate > 0 && now.Before(t.ColdUntil),
+			ColdRate: svc.ColdRate / float64(max(len(view.Instances()), 1)),
+		})
+	}
+	id, ok := r.balancer.Choose(now, choices)
+	if !ok {
+		return nil, "cold"
+	}
+	t, ok := view.Target(id)
+	if !ok {
+		return nil, "no-target"
+	}
+	return &Place{
+		Target: *t,
+		router: r,
+	}, ""
+}
+
+// engine asks the managers of the request's targets in the order of its adapter,
+// at first with little patience, so that a request stays with the targets that
+// hold its adapter as long as they are quick.
+func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
+	key := x.Call.AdapterName()
+	if key == "" {
+		key = x.Call.ID
+	}
+	order := route.TopBy(key, targets, func(t **roster.Target) string {
+		return (*t).ID
+	}, allChoices, func(t **roster.Target) bool {
+		return x.Call.Model == "" || len((*t).Models) == 0 || (*t).Holds(x.Call.Model)
+	})
+	version, _ := view.Version(x.Call.AdapterName())
+	objective := x.Route.Objective - time.Since(x.begun)
+	passes := []struct {
+		choices int
+		limit   time.Duration
+	}{
+		{
+			choices: nearChoices,
+			limit:   time.Duration(eagerShare * float64(objective)),
+		},
+		{
+			choices: allChoices,
+			limit:   time.Duration(promptShare * float64(objective)),
+		},
+		{
+			choices: allChoices,
+			limit:   time.Duration(lateShare * float64(x.Until.Sub(time.Now()))),
+		},
+	}
+	reason := "no-manager"
+	expected := make(map[string]time.Duration)
+	for _, pass := range passes {
+		for i, t := range order {
+			if e, known := expected[t.ID]; i >= pass.choices || known && (e == 0 || e > pass.limit) {
+				continue
+			}
+			if ctx.Err() != nil {
+				return nil, "timeout"
+			}
+			p, reply := r.ask(ctx, x, view, t, version, pass.limit)
+			if p != nil {
+				return p, ""
+			}
+			if reply.Reason != "" {
+				reason = string(reply.Reason)
+			}
+			expected[t.ID] = reply.Expected
+		}
+	}
+	return nil, reason
+}
+
+// ask asks a target's manager, and holds the request back until the target is
+// ready for it.
+func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, limit time.Duration) (*Place, wire.AskReply) {
+	m, ok := view.Manager(t.ID)
+	if !ok || r.isSilent(time.Now(), m.Instance) {
+		return nil, wire.AskReply{}
+	}
+	p := &Place{
+		Target:  *t,
+		Version: version,
+		router:  r,
+		id:      x.Call.ID + "/" + t.ID,
+		manager: m.Instance,
+	}
+	args := wire.AskArgs{
+		Target: t.ID,
+		Ask: sched.Ask{
+			ID:      p.id,
+			Adapter: x.Call.AdapterName(),
+			Version: version,
+			Prompt:  x.Call.PromptTokens,
+			Output:  x.Call.OutputTokens,
+			Limit:   limit,
+			Left:    time.Until(x.Until),
+		},
+	}
+	reply := r.call(ctx, view, p, args)
+	x.gate.Log.Debug().Str("request", x.Call.ID).Str("target", t.ID).Bool("granted", reply.Granted).
+		Str("reason", string(reply.Reason)).Dur("expected", reply.Expected).Msg("gate: asked")
+	if !reply.Granted {
+		return nil, reply
+	}
+	if reply.After > 0 && !sleep(ctx, reply.After) {
+		p.end(time.Now(), endNotRun)
+		return nil, wire.AskReply{}
+	}
+	return p, reply
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call asks the manager. A grant that comes after the asker has gone is given
+// back.
+func (r *Router) call(ctx context.Context, view *roster.View, p *Place, args wire.AskArgs) wire.AskReply {
+	if p.manager == r.Self {
+		return r.Manager.Ask(args)
+	}
+	in, ok := view.Instance(p.manager)
+	if !ok {
+		return wire.AskReply{}
+	}
+	type result struct {
+		reply wire.AskReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		ask, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		defer cancel()
+		var reply wire.AskReply
+		err := r.Peers.Call(ask, in.Peers, wire.MethodAsk, args, &reply)
+		if err == nil && reply.Granted && ctx.Err() != nil {
+			p.end(time.Now(), endNotRun)
+		}
+		done <- result{
+			reply: reply,
+			err:   err,
+		}
+	}()
+	select {
+	case got := <-done:
+		if got.err != nil {
+			r.Log.Info().Err(got.err).Str("instance", p.manager).Msg("gate: manager does not answer")
+			r.noteSilent(time.Now(), p.manager)
+			return wire.AskReply{}
+		}
+		return got.reply
+	case <-ctx.Done():
+		return wire.AskReply{}
+	}
+}
+
+func (r *Router) isSilent(now time.Time, instance string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.silent[instance])
+}
+
+func (r *Router) noteSilent(now time.Time, instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[instance] = now.Add(silentTime)
+}
+
+// note queues a note for a place's manager.
+func (r *Router) note(p *Place, kind sched.NoteKind, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byTarget, ok := r.notes[p.manager]
+	if !ok {
+		byTarget = make(map[string][]sched.Note)
+		r.notes[p.manager] = byTarget
+	}
+	byTarget[p.Target.ID] = append(byTarget[p.Target.ID], sched.Note{
+		ID:      p.id,
+		Kind:    kind,
+		Elapsed: time.Since(sent),
+	})
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends notes until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	r.init()
+	for {
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+			return
+		}
+		if !sleep(ctx, noteTime) {
+			return
+		}
+		r.sendNotes(ctx)
+		r.balancer.Forget(time.Now().Add(-forgetTime))
+	}
+}
+
+// sendNotes sends each manager its notes in one call.
+func (r *Router) sendNotes(ctx context.Context) {
+	r.mu.Lock()
+	notes := r.notes
+	r.notes = make(map[string]map[string][]sched.Note)
+	r.mu.Unlock()
+	view := r.Book.View()
+	for instance, byTarget := range notes {
+		var args wire.NotesArgs
+		for target, list := range byTarget {
+			args.Targets = append(args.Targets, wire.TargetNotes{
+				Target: target,
+				Notes:  list,
+			})
+		}
+		if instance == r.Self {
+			r.Manager.Notes(args)
+			continue
+		}
+		in, ok := view.Instance(instance)
+		if !ok {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+			defer cancel()
+			// A manager that misses a note forgets the grant at its deadline.
+			if err := r.Peers.Call(ctx, in.Peers, wire.MethodNotes, args, &wire.Empty{}); err != nil {
+				r.Log.Debug().Err(err).Str("instance", instance).Msg("gate: notes not sent")
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/mgmt/mgmt.go
@@ -0,0 +1,395 @@
+// Package mgmt carries out what package sched decides for the targets that this
+// instance manages: it answers asks, sends orders one after the other, and finds
+// out what became of an order whose answer was lost.
+//
+// # Usage
+//
+//	m := &mgmt.Manager{Session: session, Book: book, Orders: orders, Limits: limits}
+//	go m.Run(ctx)
+//	reply := m.Ask(time.Now(), args)
+package mgmt
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"currantstile/clock"
+	"currantstile/lead"
+	"currantstile/roster"
+	"currantstile/sched"
+	"currantstile/wire"
+)
+
+const (
+	// orderTimeout bounds one order: a target answers in a few milliseconds.
+	orderTimeout = 250 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 500 * time.Millisecond
+	// reportLag is by how much a target's report lags behind.
+	reportLag = 350 * time.Millisecond
+	// busyWait bounds how long an ask waits for an order of another ask.
+	busyWait = 400 * time.Millisecond
+	// maxRounds bounds the decisions on one ask.
+	maxRounds = 6
+	// tickTime is how often targets are taken over and given up.
+	tickTime = 200 * time.Millisecond
+	// orderTries is how often an order is sent again whose answer was lost.
+	orderTries = 2
+)
+
+// Order is an order to a target.
+type Order struct {
+	Target  roster.Target
+	Load    bool
+	Adapter string
+	// Version is the version to load; 0 is the newest.
+	Version uint64
+	// Accepted is how many orders the target is to have accepted before.
+	Accepted uint64
+	Holder   string
+	Fence    uint64
+}
+
+// Result says what a target made of an order. It is one of Accepted, Conflict,
+// Fenced and Rejected.
+type Result interface {
+	result()
+}
+
+// Accepted is an order that is being carried out, or already holds.
+type Accepted struct {
+	// Counted reports whether the order counts as one more accepted.
+	Counted bool
+}
+
+// Conflict is an order that came while another one was under way, or after
+// another number of orders than it expected.
+type Conflict struct{}
+
+// Fenced is an order whose fencing number is too low.
+type Fenced struct{}
+
+// Rejected is an order that the target cannot carry out.
+type Rejected struct {
+	Status int
+}
+
+func (Accepted) result() {}
+func (Conflict) result() {}
+func (Fenced) result()   {}
+func (Rejected) result() {}
+
+// Report is what a target says of itself.
+type Report struct {
+	Accepted uint64
+	// Adapters holds the version of each adapter, those on their way included,
+	// by MODEL/NAME.
+	Adapters map[string]uint64
+	Running  int
+	Waiting  int
+}
+
+// Orders sends orders and reads reports.
+type Orders interface {
+	// Order sends an order once. An error means that it may have been accepted.
+	Order(ctx context.Context, o Order) (Result, error)
+	Report(ctx context.Context, t roster.Target) (Report, error)
+}
+
+// Manager manages targets. Its exported fields are set before Run.
+type Manager struct {
+	Session *lead.Session
+	Book    *roster.Book
+	Orders  Orders
+	// Limits returns what the targets of a service bear, or false for a service
+	// whose targets need no manager.
+	Limits func(service string) (sched.Limits, bool)
+	Holder string
+	Log    log.Logger
+
+	mu      sync.Mutex
+	targets map[string]*managed
+}
+
+// managed is one target with what its orders need.
+type managed struct {
+	mu     sync.Mutex
+	target roster.Target
+	state  *sched.Target
+	// changed is closed and replaced when an order has ended.
+	changed chan struct{}
+	// synced is set once a report has told how many orders were accepted.
+	synced   bool
+	accepted uint64
+	syncing  bool
+	// ordering is held while an order is under way.
+	ordering sync.Mutex
+}
+
+// Run takes targets over and gives them up until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.adopt(ctx, time.Now())
+		clock.Sleep(ctx, tickTime)
+	}
+}
+
+// adopt makes the managed targets those that the session manages.
+func (m *Manager) adopt(ctx context.Context, now time.Time) {
+	view := m.Book.View()
+	for _, id := range m.Session.Targets() {
+		t, ok := view.Target(id)
+		if !ok || !m.Session.Manages(id) {
+			continue
+		}
+		limits, ok := m.Limits(t.Service)
+		if !ok {
+			continue
+		}
+		m.keep(ctx, now, *t, limits)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.targets {
+		if _, ok := view.Target(id); !ok || !m.Session.Manages(id) {
+			delete(m.targets, id)
+		}
+	}
+}
+
+func (m *Manager) keep(ctx context.Context, now time.Time, t roster.Target, limits sched.Limits) {
+	m.mu.Lock()
+	if m.targets == nil {
+		m.targets = make(map[string]*managed)
+	}
+	mt, ok := m.targets[t.ID]
+	if !ok || !mt.target.SameStart(&t) {
+		mt = &managed{
+			target:  t,
+			state:   sched.NewTarget(t.ID, limits),
+			changed: make(chan struct{}),
+		}
+		m.targets[t.ID] = mt
+	}
+	m.mu.Unlock()
+	mt.mu.Lock()
+	mt.state.Limits = limits
+	mt.state.SetCold(t.ColdUntil)
+	need := !mt.synced && !mt.syncing
+	mt.syncing = mt.syncing || need
+	mt.mu.Unlock()
+	if need {
+		go m.sync(ctx, mt)
+	}
+	_ = now
+}
+
+// sync learns from a target's report what it holds and how many orders it has
+// accepted.
+func (m *Manager) sync(ctx context.Context, mt *managed) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := m.Orders.Report(ctx, mt.target)
+	now := time.Now()
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	mt.syncing = false
+	if err != nil {
+		m.Log.Warn().Err(err).Str("target", mt.target.ID).Msg("mgmt: report cannot be read")
+		return
+	}
+	mt.synced = true
+	mt.accepted = r.Accepted
+	mt.state.Reported(now, r.Adapters)
+	mt.wake()
+	m.Log.Info().Str("target", mt.target.ID).Uint64("accepted", r.Accepted).Int("adapters", len(r.Adapters)).
+		Int("running", r.Running).Int("waiting", r.Waiting).Msg("mgmt: target reported")
+}
+
+// wake tells the asks that wait for an order. The caller holds mu.
+func (mt *managed) wake() {
+	close(mt.changed)
+	mt.changed = make(chan struct{})
+}
+
+func (m *Manager) target(id string) *managed {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets[id]
+}
+
+// Count is how many targets are managed and have reported.
+func (m *Manager) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.targets)
+}
+
+// Ask answers an entry's ask.
+func (m *Manager) Ask(args wire.AskArgs) wire.AskReply {
+	mt := m.target(args.Target)
+	if mt == nil {
+		return wire.AskReply{}
+	}
+	for range maxRounds {
+		mt.mu.Lock()
+		d := mt.state.Ask(time.Now(), args.Ask)
+		changed := mt.changed
+		mt.mu.Unlock()
+		switch d := d.(type) {
+		case sched.Granted:
+			return wire.AskReply{
+				Granted:  true,
+				After:    d.After,
+				Expected: d.Expected,
+			}
+		case sched.Declined:
+			return wire.AskReply{
+				Reason:   d.Reason,
+				Expected: d.Expected,
+			}
+		case sched.Load:
+			if !m.load(mt, d) {
+				return wire.AskReply{
+					Reason: sched.ReasonNoOrders,
+				}
+			}
+		case sched.Busy:
+			select {
+			case <-changed:
+			case <-time.After(busyWait):
+			}
+		}
+	}
+	return wire.AskReply{
+		Reason: sched.ReasonAdapters,
+	}
+}
+
+// load carries out a decision to load. It reports whether the adapter is on its
+// way.
+func (m *Manager) load(mt *managed, d sched.Load) bool {
+	mt.ordering.Lock()
+	defer mt.ordering.Unlock()
+	ok := true
+	if d.Unload != "" {
+		ok = m.order(mt, Order{
+			Adapter: d.Unload,
+		})
+		mt.mu.Lock()
+		mt.state.Unloaded(d.Unload, ok)
+		mt.mu.Unlock()
+	}
+	if ok {
+		ok = m.order(mt, Order{
+			Load:    true,
+			Adapter: d.Adapter,
+			Version: d.Version,
+		})
+	}
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	if ok {
+		mt.state.Loaded(time.Now(), d.Adapter, d.Version)
+	} else {
+		mt.state.LoadFailed(d.Adapter)
+	}
+	mt.wake()
+	return ok
+}
+
+// order sends an order, again if its answer is lost: a target accepts an order
+// only after the number of orders that it names, so that at most one of them is
+// carried out, however late the first one arrives.
+func (m *Manager) order(mt *managed, o Order) bool {
+	for range orderTries {
+		mt.mu.Lock()
+		o.Target, o.Accepted = mt.target, mt.accepted
+		synced := mt.synced
+		mt.mu.Unlock()
+		fence, ok := m.Session.MayOrder(time.Now(), o.Target.ID)
+		if !ok || !synced {
+			return false
+		}
+		o.Fence, o.Holder = fence, m.Holder
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		result, err := m.Orders.Order(ctx, o)
+		cancel()
+		line := m.Log.Info().Str("target", o.Target.ID).Bool("load", o.Load).Str("adapter", o.Adapter).
+			Uint64("version", o.Version).Uint64("fence", fence).Uint64("accepted", o.Accepted)
+		if err != nil {
+			line.Err(err).Msg("mgmt: order has no answer")
+			continue
+		}
+		line.Msgf("mgmt: order ends as %T", result)
+		switch r := result.(type) {
+		case Accepted:
+			mt.mu.Lock()
+			if r.Counted {
+				mt.accepted++
+			}
+			mt.mu.Unlock()
+			return true
+		case Fenced:
+			m.Session.Refused(o.Target.ID, fence)
+			return false
+		default:
+			m.unsure(mt)
+			return false
+		}
+	}
+	m.unsure(mt)
+	return false
+}
+
+// unsure has the target's report read again once it covers the last order.
+func (m *Manager) unsure(mt *managed) {
+	mt.mu.Lock()
+	mt.synced = false
+	mt.syncing = true
+	mt.mu.Unlock()
+	time.AfterFunc(reportLag, func() {
+		m.sync(context.Background(), mt)
+	})
+}
+
+// Notes takes in what happened to granted requests.
+func (m *Manager) Notes(args wire.NotesArgs) {
+	for _, tn := range args.Targets {
+		mt := m.target(tn.Target)
+		if mt == nil {
+			continue
+		}
+		mt.mu.Lock()
+		misdirected := false
+		for _, n := range tn.Notes {
+			mt.state.Note(time.Now(), n)
+			misdirected = misdirected || n.Kind == sched.NoteMisdirected
+		}
+		stale := misdirected && mt.synced
+		mt.mu.Unlock()
+		if stale {
+			m.unsure(mt)
+		}
+	}
+}
+
+// Service gives net/rpc the method signatures that it wants.
+type Service struct {
+	Manager *Manager
+}
+
+// Ask answers wire.MethodAsk.
+func (s *Service) Ask(args wire.AskArgs, reply *wire.AskReply) error {
+	*reply = s.Manager.Ask(args)
+	return nil
+}
+
+// Notes answers wire.MethodNotes.
+func (s *Service) Notes(args wire.NotesArgs, _ *wire.Empty) error {
+	s.Manager.Notes(args)
+	return nil
+}
--- /dev/null
+++ b/node/figures.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"currantstile/gate"
+	"currantstile/hist"
+)
+
+// figures are the counters and histograms of an instance. They are served as
+// lines of NAME{LABEL="VALUE"} NUMBER.
+type figures struct {
+	counts *expvar.Map
+	gauges *expvar.Map
+
+	mu    sync.Mutex
+	first map[string]*hist.Histogram
+}
+
+// maxHistograms bounds how many routes have a histogram of their own.
+const maxHistograms = 256
+
+func newFigures() *figures {
+	return &figures{
+		counts: new(expvar.Map).Init(),
+		gauges: new(expvar.Map).Init(),
+		first:  make(map[string]*hist.Histogram),
+	}
+}
+
+// count takes in a finished request.
+func (f *figures) count(route, org string, e *gate.Exchange) {
+	f.counts.Add(fmt.Sprintf("requests_total{route=%q,organisation=%q,status=%q,reason=%q}", route, org, strconv.Itoa(e.Status), e.Reason), 1)
+	if e.First == 0 {
+		return
+	}
+	f.mu.Lock()
+	h, ok := f.first[route]
+	if !ok && len(f.first) < maxHistograms {
+		h = hist.New()
+		f.first[route] = h
+	}
+	f.mu.Unlock()
+	if h != nil {
+		h.Record(e.First)
+	}
+}
+
+// set takes in an instance's present state.
+func (f *figures) set(n *Node) {
+	now := time.Now()
+	gauge := func(name string, value float64) {
+		v := new(expvar.Float)
+		v.Set(value)
+		f.gauges.Set(name, v)
+	}
+	if cfg := n.config.Load(); cfg != nil {
+		gauge("configuration_version", float64(cfg.Version))
+	}
+	view := n.book.View()
+	gauge("targets", float64(view.Targets()))
+	gauge("targets_managed", float64(n.manager.Count()))
+	gauge("instances", float64(len(view.Instances())))
+	gauge("limits_part", float64(n.limits.keeper.Usable(now))/1e6)
+	gauge("store_age_seconds", now.Sub(n.health.LastReached()).Seconds())
+	gauge("requests_running", float64(n.gate.Running()))
+	gauge("connections_opened", float64(n.Conns.Opened()))
+}
+
+// handle writes all figures as text.
+func (f *figures) handle(w http.ResponseWriter, _ *http.Request) {
+	var b strings.Builder
+	for _, m := range []*expvar.Map{f.counts, f.gauges} {
+		m.Do(func(kv expvar.KeyValue) {
+			fmt.Fprintf(&b, "currantstile_%s %s\n", kv.Key, kv.Value)
+		})
+	}
+	f.mu.Lock()
+	routes := make([]string, 0, len(f.first))
+	for r := range f.first {
+		routes = append(routes, r)
+	}
+	sort.Strings(routes)
+	for _, r := range routes {
+		s := f.first[r].Summary()
+		for _, q := range []struct {
+			name  string
+			value float64
+		}{
+			{
+				name:  "0.5",
+				value: s.P50,
+			},
+			{
+				name:  "0.95",
+				value: s.P95,
+			},
+			{
+				name:  "0.99",
+				value: s.P99,
+			},
+		} {
+			fmt.Fprintf(&b, "currantstile_first_byte_milliseconds{route=%q,quantile=%q} %g\n", r, q.name, q.value)
+		}
+		fmt.Fprintf(&b, "currantstile_first_byte_count{route=%q} %d\n", r, s.Count)
+	}
+	f.mu.Unlock()
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// A reader that is gone needs nothing.
+	_, _ = w.Write([]byte(b.String()))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,319 @@
+// Package node assembles an instance that runs on a platform: it keeps nothing on
+// its machine, learns its configuration, its targets and its fellow instances
+// from the platform's store, and shares the management of targets and the limits
+// of organisations with the others.
+//
+// # Usage
+//
+//	n := &node.Node{Settings: settings, KV: kv, Sources: sources, Codec: codec, Orders: orders, Conns: conns, Log: logger}
+//	if err := n.Start(ctx); err != nil {
+//		return err
+//	}
+//	<-ctx.Done()
+//	n.Stop()
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"currantstile/clock"
+	"currantstile/conf"
+	"currantstile/errs"
+	"currantstile/feed"
+	"currantstile/gate"
+	"currantstile/lead"
+	"currantstile/mgmt"
+	"currantstile/peer"
+	"currantstile/roster"
+	"currantstile/sched"
+	"currantstile/store"
+	"currantstile/upst"
+	"currantstile/wire"
+)
+
+const (
+	// memoryShare is how much of the process's memory Go's collector plans with;
+	// the rest is for buffers of the system.
+	memoryShare = 0.7
+	// leaveTime is how long an instance goes on taking connections after it has
+	// said that it is not ready: the balancer asks once a second and needs two
+	// refusals.
+	leaveTime = 2300 * time.Millisecond
+	// stopMargin is left of the grace period when running requests are cut off.
+	stopMargin = 700 * time.Millisecond
+	// goneTime is how long a target's entry that vanished with the store may take
+	// to come back before the target counts as gone.
+	goneTime = 2500 * time.Millisecond
+	// storeWindow is how long after an outage of the store a vanished entry may
+	// be due to it.
+	storeWindow = 3 * time.Second
+	houseTime   = 250 * time.Millisecond
+)
+
+// Node is one instance. Its exported fields are set before Start.
+type Node struct {
+	Settings Settings
+	KV       store.KV
+	Sources  Sources
+	Codec    gate.Codec
+	Orders   mgmt.Orders
+	Conns    *upst.Pool
+	Log      log.Logger
+
+	started  time.Time
+	config   atomic.Pointer[conf.Config]
+	book     *roster.Book
+	health   feed.Health
+	session  *lead.Session
+	manager  *mgmt.Manager
+	pool     *peer.Pool
+	peers    *peer.Server
+	limits   *limits
+	router   *gate.Router
+	gate     *gate.Gate
+	feeds    []*feed.Follower
+	figures  *figures
+	servers  []*http.Server
+	draining atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	goneMu sync.Mutex
+	// gone holds the targets whose entries vanished around an outage of the
+	// store, with when they count as gone.
+	gone map[string]time.Time
+}
+
+// Start brings up all parts. It returns once the listeners are open.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.Settings.Validate(); err != nil {
+		return errs.Step(err, "Node.Start")
+	}
+	n.started = time.Now()
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.Settings.MemoryBytes)))
+	n.gone = make(map[string]time.Time)
+	n.book = roster.NewBook()
+	n.pool = &peer.Pool{}
+	n.figures = newFigures()
+	n.buildTargets()
+	n.buildGate()
+	n.buildFeeds()
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	n.cancel = cancel
+	if err := n.listen(); err != nil {
+		cancel()
+		return errs.Step(err, "Node.Start")
+	}
+	n.run(run)
+	n.Log.Info().Str("instance", n.Settings.Name).Str("data-centre", n.Settings.Zone).Str("callers", n.Settings.Callers.String()).
+		Str("peers", n.Settings.Peers.String()).Str("store", n.Settings.Store.String()).Msg("node: started")
+	return nil
+}
+
+// buildTargets makes what manages targets and limits organisations.
+func (n *Node) buildTargets() {
+	s := n.Settings
+	n.session = &lead.Session{
+		Self: roster.Instance{
+			Name:    s.Name,
+			Zone:    s.Zone,
+			Peers:   s.Peers,
+			Started: n.started.UnixMilli(),
+		},
+		KV:        n.KV,
+		Book:      n.book,
+		Targets:   n.managedTargets,
+		Health:    &n.health,
+		LeaseTime: s.LeaseTime,
+		Fenced:    s.Fenced,
+		Log:       n.Log,
+	}
+	n.manager = &mgmt.Manager{
+		Session: n.session,
+		Book:    n.book,
+		Orders:  n.Orders,
+		Limits:  n.targetLimits,
+		Holder:  s.Name,
+		Log:     n.Log,
+	}
+	n.limits = newLimits(n)
+}
+
+// buildGate makes the callers' interface and what it sends with.
+func (n *Node) buildGate() {
+	s := n.Settings
+	n.router = &gate.Router{
+		Self:    s.Name,
+		Zone:    s.Zone,
+		Book:    n.book,
+		Manager: n.manager,
+		Peers:   n.pool,
+		Budget: &sched.Budget{
+			Ratio:  s.RetryRatio,
+			Window: s.RetryWindow,
+			Slack:  s.RetrySlack,
+		},
+		Log: n.Log,
+	}
+	n.gate = &gate.Gate{
+		Addr:    s.Callers,
+		Codec:   n.Codec,
+		Config:  n.config.Load,
+		Limiter: n.limits,
+		Router:  n.router,
+		Conns:   n.Conns,
+		Count:   n.figures.count,
+		Log:     n.Log,
+	}
+	n.peers = &peer.Server{
+		Addr: s.Peers,
+		Services: map[string]any{
+			wire.ServiceSched: &mgmt.Service{
+				Manager: n.manager,
+			},
+			wire.ServicePeer: n.limits.service(),
+		},
+	}
+}
+
+// buildFeeds follows the keys of the platform and those of the project.
+func (n *Node) buildFeeds() {
+	operators, targets := n.Sources.Prefixes()
+	for prefix, apply := range map[string]func(time.Time, []feed.Change){
+		operators:   n.applyOperator,
+		targets:     n.applyTargets,
+		lead.Prefix: n.session.Apply,
+	} {
+		n.feeds = append(n.feeds, &feed.Follower{
+			KV:     n.KV,
+			Prefix: prefix,
+			Apply:  apply,
+			Health: &n.health,
+			Log:    n.Log,
+		})
+	}
+}
+
+func (n *Node) listen() error {
+	if err := n.peers.Start(); err != nil {
+		return err
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("/", n.handleReady)
+	if err := n.serve(n.Settings.Readiness, ready); err != nil {
+		return err
+	}
+	if n.Settings.Metrics.IsValid() {
+		mux := http.NewServeMux()
+		mux.HandleFunc("/metrics", n.figures.handle)
+		if err := n.serve(n.Settings.Metrics, mux); err != nil {
+			return err
+		}
+	}
+	return n.gate.Start()
+}
+
+// serveTimeout bounds one request of the platform itself.
+const serveTimeout = 5 * time.Second
+
+func (n *Node) serve(addr netip.AddrPort, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errs.At(err, "Node.serve", addr)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: serveTimeout,
+	}
+	n.servers = append(n.servers, s)
+	// Serve returns when the server is closed; until then nothing ends it.
+	go func() {
+		_ = s.Serve(ln)
+	}()
+	return nil
+}
+
+// run starts the loops that go on until Stop.
+func (n *Node) run(ctx context.Context) {
+	loops := []func(context.Context){
+		n.session.Run,
+		n.manager.Run,
+		n.router.Run,
+		n.gate.Run,
+		n.limits.run,
+		n.house,
+	}
+	for _, f := range n.feeds {
+		loops = append(loops, f.Run)
+	}
+	for _, loop := range loops {
+		n.wg.Go(func() {
+			loop(ctx)
+		})
+	}
+}
+
+// house drops targets that did not come back.
+func (n *Node) house(ctx context.Context) {
+	for clock.Sleep(ctx, houseTime) {
+		n.dropGone(time.Now())
+		n.figures.set(n)
+	}
+}
+
+// Ready reports whether new requests should come, and why not.
+func (n *Node) Ready(now time.Time) (string, bool) {
+	cfg := n.config.Load()
+	switch {
+	case n.draining.Load():
+		return "draining", false
+	case cfg == nil:
+		return "no configuration", false
+	case n.book.View().Targets() == 0:
+		return "no targets", false
+	case !n.limits.ready(now, cfg):
+		return "no part of the limits", false
+	default:
+		return "", true
+	}
+}
+
+func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if reason, ok := n.Ready(time.Now()); !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Stop drains the instance and ends it: it stops being ready, goes on until the
+// balancer has noticed, and lets running requests end within the grace period.
+func (n *Node) Stop() {
+	begun := time.Now()
+	n.draining.Store(true)
+	n.gate.Drain()
+	n.Log.Info().Int64("running", n.gate.Running()).Msg("node: draining")
+	time.Sleep(min(leaveTime, n.Settings.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(n.Settings.Grace-stopMargin))
+	defer cancel()
+	if err := n.gate.Stop(ctx); err != nil {
+		n.Log.Warn().Err(err).Msg("node: running requests were cut off")
+	}
+	n.cancel()
+	n.pool.Close()
+	// What closing the rest brings up, nobody is left to act on.
+	_ = n.peers.Stop()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.Log.Info().Dur("took", time.Since(begun)).Msg("node: stopped")
+}
--- /dev/null
+++ b/node/sources.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"time"
+
+	"currantstile/conf"
+	"currantstile/feed"
+	"currantstile/roster"
+	"currantstile/sched"
+)
+
+// OperatorChange is something that the operator has written. It is one of
+// NewConfig, ZoneClosed and AdapterVersion.
+type OperatorChange interface {
+	operatorChange()
+}
+
+// NewConfig is a new configuration.
+type NewConfig struct {
+	Config *conf.Config
+}
+
+// ZoneClosed tells whether a data centre is to get nothing.
+type ZoneClosed struct {
+	Zone   string
+	Closed bool
+}
+
+// AdapterVersion is the newest version of an adapter, named MODEL/NAME.
+type AdapterVersion struct {
+	Adapter string
+	Version uint64
+}
+
+func (NewConfig) operatorChange()      {}
+func (ZoneClosed) operatorChange()     {}
+func (AdapterVersion) operatorChange() {}
+
+// Sources decode what the platform's store holds.
+type Sources interface {
+	// Prefixes are where operators and targets write.
+	Prefixes() (operators, targets string)
+	// Operator decodes a change by the operator.
+	Operator(now time.Time, c feed.Change) (OperatorChange, error)
+	// Target decodes a target's entry. For a deleted one only the ID is set.
+	Target(now time.Time, c feed.Change) (roster.Target, error)
+}
+
+// applyOperator takes in what the operator has written.
+func (n *Node) applyOperator(now time.Time, changes []feed.Change) {
+	for _, c := range changes {
+		change, err := n.Sources.Operator(now, c)
+		if err != nil {
+			n.Log.Warn().Err(err).Str("key", c.Entry.Key).Msg("node: entry of the operator is passed over")
+			continue
+		}
+		switch change := change.(type) {
+		case NewConfig:
+			n.adopt(change.Config)
+		case ZoneClosed:
+			n.Log.Info().Str("data-centre", change.Zone).Bool("closed", change.Closed).Msg("node: data centre changed")
+			n.book.SetClosed(change.Zone, change.Closed)
+		case AdapterVersion:
+			n.Log.Info().Str("adapter", change.Adapter).Uint64("version", change.Version).Msg("node: adapter has a new version")
+			n.book.SetVersion(change.Adapter, change.Version)
+		}
+	}
+	n.book.Publish()
+}
+
+// adopt puts a configuration in force unless a newer one is.
+func (n *Node) adopt(cfg *conf.Config) {
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= cfg.Version {
+			return
+		}
+		if n.config.CompareAndSwap(old, cfg) {
+			n.Log.Info().Uint64("configuration", cfg.Version).Int("routes", len(cfg.Routes)).
+				Int("organisations", len(cfg.Organisations)).Msg("node: configuration in force")
+			return
+		}
+	}
+}
+
+// applyTargets takes in what targets have written of themselves.
+func (n *Node) applyTargets(now time.Time, changes []feed.Change) {
+	for _, c := range changes {
+		t, err := n.Sources.Target(now, c)
+		if err != nil {
+			n.Log.Warn().Err(err).Str("key", c.Entry.Key).Msg("node: entry of a target is passed over")
+			// An entry that cannot be read names no target to use.
+			n.book.DropTarget(t.ID)
+			continue
+		}
+		if c.Entry.Deleted {
+			n.vanished(now, t.ID)
+			continue
+		}
+		n.goneMu.Lock()
+		delete(n.gone, t.ID)
+		n.goneMu.Unlock()
+		if old, ok := n.book.View().Target(t.ID); !ok || old.Draining != t.Draining || old.Born != t.Born {
+			n.Log.Info().Str("target", t.ID).Str("service", t.Service).Bool("draining", t.Draining).
+				Time("cold-until", t.ColdUntil).Msg("node: target changed")
+		}
+		n.book.SetTarget(t)
+	}
+	n.book.Publish()
+}
+
+// vanished takes in that a target's entry is gone. Around an outage of the store
+// the entry may have lapsed though the target lives.
+func (n *Node) vanished(now time.Time, id string) {
+	if n.health.Away() || n.health.SinceMissed(now) < storeWindow {
+		n.Log.Info().Str("target", id).Msg("node: target's entry lapsed around an outage of the store; waiting for it")
+		n.goneMu.Lock()
+		n.gone[id] = now.Add(goneTime)
+		n.goneMu.Unlock()
+		return
+	}
+	n.Log.Info().Str("target", id).Msg("node: target is gone")
+	n.book.DropTarget(id)
+}
+
+// dropGone drops the targets whose entries did not come back.
+func (n *Node) dropGone(now time.Time) {
+	n.goneMu.Lock()
+	defer n.goneMu.Unlock()
+	for id, at := range n.gone {
+		if now.Before(at) {
+			continue
+		}
+		delete(n.gone, id)
+		n.Log.Info().Str("target", id).Msg("node: target did not come back")
+		n.book.DropTarget(id)
+	}
+	n.book.Publish()
+}
+
+// managedTargets lists the targets that need a manager.
+func (n *Node) managedTargets() []string {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	view := n.book.View()
+	var ids []string
+	for _, s := range cfg.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, t := range view.Service(s.Name) {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
+// targetLimits is what the targets of a service bear.
+func (n *Node) targetLimits(service string) (sched.Limits, bool) {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return sched.Limits{}, false
+	}
+	s, ok := cfg.Service(service)
+	if !ok || s.Engine == nil {
+		return sched.Limits{}, false
+	}
+	return sched.Limits{
+		Slots:        s.Engine.Slots,
+		MemoryTokens: int64(s.Engine.MemoryTokens),
+		AdapterSlots: s.Engine.AdapterSlots,
+		ColdRate:     s.ColdRate,
+	}, true
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,22 @@
 type conn struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	// timeouts counts the calls that timed out since the last answer.
+	timeouts atomic.Int32
+}
+
+// maxTimeouts is how many calls may time out in a row before the connection
+// counts as silent.
+const maxTimeouts = 2
+
+// noteTimeout drops a connection on which nothing has come back for a while: it
+// may have gone silent without being closed.
+func (c *conn) noteTimeout(client *rpc.Client, err error) {
+	if !errors.Is(err, context.DeadlineExceeded) || c.timeouts.Add(1) < maxTimeouts {
+		return
+	}
+	c.timeouts.Store(0)
+	c.dropOnFailure(client, err)
 }
 
 // Call makes one call and waits for its reply until ctx ends. After a timeout
@@ -68,9 +85,11 @@
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		c.timeouts.Store(0)
 		c.dropOnFailure(client, call.Error)
 		return errs.At(call.Error, method, addr)
 	case <-ctx.Done():
+		c.noteTimeout(client, ctx.Err())
 		return errs.At(ctx.Err(), method, addr)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -28,10 +29,14 @@
 
 // Server takes calls from other instances. Its fields are set before Start.
 type Server struct {
-	Addr    netip.AddrPort
+	Addr netip.AddrPort
+	// Handler answers the methods of package wire; nil leaves them out.
 	Handler Handler
 	// Secret is the fleet's secret; empty lets anybody call who reaches Addr.
 	Secret string
+	// Services are further receivers of calls, by the name that their methods
+	// are called under.
+	Services map[string]any
 
 	ln    net.Listener
 	mu    sync.Mutex
@@ -119,10 +124,17 @@
 	s.ln = ln
 	s.conns = make(map[net.Conn]struct{})
 	r := rpc.NewServer()
-	if err := r.RegisterName("Peer", &service{
-		handler: s.Handler,
-	}); err != nil {
-		return errs.Step(err, "Server.Start")
+	receivers := map[string]any{}
+	if s.Handler != nil {
+		receivers[wire.ServicePeer] = &service{
+			handler: s.Handler,
+		}
+	}
+	maps.Copy(receivers, s.Services)
+	for name, receiver := range receivers {
+		if err := r.RegisterName(name, receiver); err != nil {
+			return errs.Step(err, "Server.Start")
+		}
 	}
 	go s.accept(r)
 	return nil
--- a/route/order.go
+++ b/route/order.go
@@ -26,21 +26,28 @@
 // those for which keep is false. Every instance finds the same order, and a
 // member that comes or goes moves only its own share of the keys.
 func Top(key string, members model.Members, n int, keep func(*model.Member) bool) model.Members {
+	return TopBy(key, members, func(m *model.Member) string {
+		return m.ID
+	}, n, keep)
+}
+
+// TopBy is Top for items of any type, which id names.
+func TopBy[T any](key string, items []T, id func(*T) string, n int, keep func(*T) bool) []T {
 	h := xxhash.Sum64String(key)
 	best := make([]scored, 0, n)
-	for i := range members {
+	for i := range items {
 		s := scored{
-			score: score(h, members[i].ID),
+			score: score(h, id(&items[i])),
 			index: i,
 		}
-		if len(best) == n && s.score <= best[n-1].score || !keep(&members[i]) {
+		if len(best) == n && (n == 0 || s.score <= best[n-1].score) || !keep(&items[i]) {
 			continue
 		}
 		best = insert(best, s, n)
 	}
-	list := make(model.Members, 0, len(best))
+	list := make([]T, 0, len(best))
 	for _, s := range best {
-		list = append(list, members[s.index])
+		list = append(list, items[s.index])
 	}
 	return list
 }
--- a/share/keeper.go
+++ b/share/keeper.go
@@ -39,7 +39,7 @@
 
 const (
 	// tableKey is where the table lies in the store.
-	tableKey = "quota/table"
+	tableKey = "currantstile/quota/table"
 	// stepInterval is how often the part is looked at.
 	stepInterval = 500 * time.Millisecond
 	// readInterval is how often the table is read while all is quiet, and
@@ -68,7 +68,9 @@
 	Members func() *member.View
 	// Version asks another instance which version of the table it has seen last.
 	Version func(ctx context.Context, addr netip.AddrPort) (uint64, error)
-	Log     log.Logger
+	// Timing is how long parts stay and settle; allot.DefaultTiming if zero.
+	Timing allot.Timing
+	Log    log.Logger
 
 	// seen is the table as last read, for whoever must not wait for a step.
 	seen     atomic.Pointer[allot.Table]
@@ -152,8 +154,9 @@
 	defer k.mu.Unlock()
 	if k.right == nil {
 		k.right = &allot.Right{
-			Self:  k.Self,
-			Whole: quota.Whole,
+			Self:   k.Self,
+			Whole:  quota.Whole,
+			Timing: k.Timing,
 		}
 	}
 	members := k.look(time.Now())
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -17,6 +17,9 @@
 
 // Methods of the peers' interface.
 const (
+	// ServicePeer is the name that they are registered under.
+	ServicePeer = "Peer"
+
 	MethodAcquire = "Peer.Acquire"
 	MethodRenew   = "Peer.Renew"
 	MethodLost    = "Peer.Lost"
