--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -49,6 +49,9 @@
 	hopDone hop = iota
 	// hopNotRun means that the target ran nothing.
 	hopNotRun
+	// hopLoading means that the target ran nothing because the adapter that it
+	// was ordered to load is not there yet.
+	hopLoading
 	// hopUnknown means that the target may have run the request.
 	hopUnknown
 	// hopFailed means that the target ran the request and says that it failed.
@@ -64,6 +67,9 @@
 	body   []byte
 }
 
+// maxLoading is how often a request goes back to a target whose adapter is late.
+const maxLoading = 4
+
 // unsentRetry is when a caller may come back whose request no target took.
 const unsentRetry = 300 * time.Millisecond
 
@@ -71,22 +77,29 @@
 func (x *Exchange) serve(ctx context.Context) {
 	var last *held
 	tried := make(map[string]bool)
-	targets := 0
+	targets, loading := 0, 0
 	for {
 		place, reason := x.gate.Router.Place(ctx, x, tried)
 		if place == nil {
 			x.fail(ctx, reason, last)
 			return
 		}
-		tried[place.Target.ID] = true
 		end, answer := x.send(ctx, place)
+		if end == hopLoading && loading < maxLoading {
+			// The adapter is late; the target is asked again when it should be
+			// there.
+			loading++
+			end = hopNotRun
+		} else {
+			tried[place.Target.ID] = true
+		}
 		if answer != nil {
 			last = answer
 		}
 		if end == hopDone {
 			return
 		}
-		if end != hopNotRun {
+		if end != hopNotRun && end != hopLoading {
 			x.ran = true
 			targets++
 		}
@@ -103,7 +116,7 @@
 		return false
 	}
 	switch end {
-	case hopNotRun:
+	case hopNotRun, hopLoading:
 	case hopCut:
 		if !x.Route.Resumable {
 			return false
@@ -239,10 +252,15 @@
 		p.end(sent, endFailed)
 		return hopUnknown, nil
 	case a.Misdirected || resp.StatusCode == http.StatusMisdirectedRequest:
+		x.notRun(p, resp.StatusCode)
 		x.drain(resp)
 		p.end(sent, endMisdirected)
+		if p.held > 0 {
+			return hopLoading, nil
+		}
 		return hopNotRun, nil
 	case a.NotRun:
+		x.notRun(p, resp.StatusCode)
 		x.drain(resp)
 		p.end(sent, endNotRun)
 		return hopNotRun, nil
@@ -253,6 +271,12 @@
 	}
 }
 
+// notRun logs a refusal by the target.
+func (x *Exchange) notRun(p *Place, status int) {
+	x.gate.Log.Info().Str("request", x.Call.ID).Str("target", x.Target).Str("adapter", x.Call.AdapterName()).
+		Int("status", status).Dur("held", p.held).Msg("gate: target ran nothing")
+}
+
 // sendFailed sorts a request that brought no answer.
 func (x *Exchange) sendFailed(ctx context.Context, p *Place, sent time.Time, err error) hop {
 	var e *upst.SendError
--- a/gate/router.go
+++ b/gate/router.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// askTimeout bounds an ask of another instance, orders included.
-	askTimeout = 600 * time.Millisecond
+	// askTimeout bounds an ask of another instance, the wait for a load included.
+	askTimeout = 2500 * time.Millisecond
+	// aliveTime is how long an ask waits for an instance from which nothing was
+	// heard meanwhile.
+	aliveTime = 200 * time.Millisecond
 	// silentTime is how long the targets of a manager that did not answer are
 	// left out.
 	silentTime = 700 * time.Millisecond
@@ -55,6 +58,7 @@
 	balancer sched.Balancer
 	mu       sync.Mutex
 	silent   map[string]time.Time
+	heard    map[string]time.Time
 	notes    map[string]map[string][]sched.Note
 	wake     chan struct{}
 	once     sync.Once
@@ -71,6 +75,9 @@
 	// is one of the balancer's.
 	id      string
 	manager string
+	// held is for how long the request was held back until its adapter was
+	// expected in place.
+	held time.Duration
 }
 
 // endKind is how a sending ended.
@@ -111,6 +118,7 @@
 func (r *Router) init() {
 	r.once.Do(func() {
 		r.silent = make(map[string]time.Time)
+		r.heard = make(map[string]time.Time)
 		r.notes = make(map[string]map[string][]sched.Note)
 		r.wake = make(chan struct{}, 1)
 	})
@@ -286,6 +294,7 @@
 		p.end(time.Now(), endNotRun)
 		return nil, wire.AskReply{}
 	}
+	p.held = reply.After
 	return p, reply
 }
 
@@ -315,9 +324,11 @@
 		err   error
 	}
 	done := make(chan result, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	go func() {
-		ask, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
-		defer cancel()
+		ask, stop := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		defer stop()
 		var reply wire.AskReply
 		err := r.Peers.Call(ask, in.Peers, wire.MethodAsk, args, &reply)
 		if err == nil && reply.Granted && ctx.Err() != nil {
@@ -328,19 +339,46 @@
 			err:   err,
 		}
 	}()
-	select {
-	case got := <-done:
-		if got.err != nil {
+	begun := time.Now()
+	alive := time.NewTicker(aliveTime)
+	defer alive.Stop()
+	for {
+		select {
+		case got := <-done:
+			if got.err == nil {
+				r.noteHeard(time.Now(), p.manager)
+				return got.reply
+			}
 			r.Log.Info().Err(got.err).Str("instance", p.manager).Msg("gate: manager does not answer")
 			r.noteSilent(time.Now(), p.manager)
 			return wire.AskReply{}
+		case now := <-alive.C:
+			if r.heardSince(p.manager, begun) {
+				begun = now
+				continue
+			}
+			cancel()
+			r.Log.Info().Str("instance", p.manager).Msg("gate: nothing is heard of a manager")
+			r.noteSilent(now, p.manager)
+			return wire.AskReply{}
+		case <-ctx.Done():
+			return wire.AskReply{}
 		}
-		return got.reply
-	case <-ctx.Done():
-		return wire.AskReply{}
 	}
 }
 
+func (r *Router) noteHeard(now time.Time, instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard[instance] = now
+}
+
+func (r *Router) heardSince(instance string, t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heard[instance].After(t)
+}
+
 func (r *Router) isSilent(now time.Time, instance string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -419,7 +457,9 @@
 			// A manager that misses a note forgets the grant at its deadline.
 			if err := r.Peers.Call(ctx, in.Peers, wire.MethodNotes, args, &wire.Empty{}); err != nil {
 				r.Log.Debug().Err(err).Str("instance", instance).Msg("gate: notes not sent")
+				return
 			}
+			r.noteHeard(time.Now(), instance)
 		}()
 	}
 }
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -31,7 +31,9 @@
 	// reportLag is by how much a target's report lags behind.
 	reportLag = 350 * time.Millisecond
 	// busyWait bounds how long an ask waits for an order of another ask.
-	busyWait = 400 * time.Millisecond
+	busyWait = 500 * time.Millisecond
+	// permitWait bounds how long a load waits for its turn.
+	permitWait = 2 * time.Second
 	// maxRounds bounds the decisions on one ask.
 	maxRounds = 6
 	// tickTime is how often targets are taken over and given up.
@@ -112,6 +114,7 @@
 
 	mu      sync.Mutex
 	targets map[string]*managed
+	loads   sched.Loads
 }
 
 // managed is one target with what its orders need.
@@ -158,6 +161,7 @@
 			delete(m.targets, id)
 		}
 	}
+	m.loads.SetTargets(len(m.targets))
 }
 
 func (m *Manager) keep(ctx context.Context, now time.Time, t roster.Target, limits sched.Limits) {
@@ -172,6 +176,7 @@
 			state:   sched.NewTarget(t.ID, limits),
 			changed: make(chan struct{}),
 		}
+		mt.state.Loads = &m.loads
 		m.targets[t.ID] = mt
 	}
 	m.mu.Unlock()
@@ -272,6 +277,21 @@
 // load carries out a decision to load. It reports whether the adapter is on its
 // way.
 func (m *Manager) load(mt *managed, d sched.Load) bool {
+	if d.Fresh {
+		permit := m.loads.Enter()
+		select {
+		case <-permit:
+		case <-time.After(permitWait):
+			m.loads.Leave(permit)
+			mt.mu.Lock()
+			defer mt.mu.Unlock()
+			mt.state.Unloaded(d.Unload, false)
+			mt.state.LoadFailed(d.Adapter)
+			mt.wake()
+			return false
+		}
+		defer m.leaveAtEnd(mt, d.Adapter, permit)
+	}
 	mt.ordering.Lock()
 	defer mt.ordering.Unlock()
 	ok := true
@@ -301,6 +321,21 @@
 	return ok
 }
 
+// leaveAtEnd gives a permit back when the load is expected to have ended.
+func (m *Manager) leaveAtEnd(mt *managed, adapter string, permit <-chan struct{}) {
+	now := time.Now()
+	mt.mu.Lock()
+	ready, ok := mt.state.Ready(adapter)
+	mt.mu.Unlock()
+	if !ok || !now.Before(ready) {
+		m.loads.Leave(permit)
+		return
+	}
+	time.AfterFunc(ready.Sub(now), func() {
+		m.loads.Leave(permit)
+	})
+}
+
 // order sends an order, again if its answer is lost: a target accepts an order
 // only after the number of orders that it names, so that at most one of them is
 // carried out, however late the first one arrives.
@@ -364,16 +399,10 @@
 			continue
 		}
 		mt.mu.Lock()
-		misdirected := false
 		for _, n := range tn.Notes {
 			mt.state.Note(time.Now(), n)
-			misdirected = misdirected || n.Kind == sched.NoteMisdirected
 		}
-		stale := misdirected && mt.synced
 		mt.mu.Unlock()
-		if stale {
-			m.unsure(mt)
-		}
 	}
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -19,7 +19,10 @@
 //	t.Note(now, note)
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// prefillRate is how many prompt tokens a target reads in a millisecond
@@ -33,6 +36,11 @@
 	recentLoad = 25 * time.Millisecond
 	// loadMargin is added to a load's expected end before a request is sent.
 	loadMargin = 12 * time.Millisecond
+	// maxLoad is after how long an adapter that was ordered and is not there does
+	// not count as being loaded any more.
+	maxLoad = 3 * time.Second
+	// moreLoad of the time that a load has taken so far is waited once more.
+	moreLoad = 0.25
 	// recentAdapters is how many adapters a target keeps at hand besides those
 	// that it holds; from the deployments' sheets.
 	recentAdapters = 30
@@ -111,6 +119,8 @@
 	Adapter string
 	Version uint64
 	Unload  string
+	// Fresh is set if the adapter has to come from the weight store.
+	Fresh bool
 }
 
 // Busy means that the adapter is being ordered; ask again when that has ended.
@@ -186,8 +196,12 @@
 type resident struct {
 	state   adapterState
 	version uint64
-	// ready is when its load is expected to have ended.
-	ready   time.Time
+	// begun is when its load was ordered, and ready when that is expected to
+	// have ended.
+	begun time.Time
+	ready time.Time
+	// fresh is set if the load is one from the weight store.
+	fresh   bool
 	used    time.Time
 	running int
 }
@@ -207,6 +221,8 @@
 type Target struct {
 	ID     string
 	Limits Limits
+	// Loads is shared by the targets of one manager.
+	Loads *Loads
 
 	residents map[string]*resident
 	// recent are the adapters held lately, the latest last.
@@ -234,6 +250,7 @@
 	return &Target{
 		ID:        id,
 		Limits:    l,
+		Loads:     &Loads{},
 		residents: make(map[string]*resident),
 		grants:    make(map[string]*grant),
 		pace:      1,
@@ -339,6 +356,7 @@
 		return Load{
 			Adapter: a.Adapter,
 			Version: a.Version,
+			Fresh:   true,
 		}
 	}
 }
@@ -358,6 +376,7 @@
 	load := Load{
 		Adapter: a.Adapter,
 		Version: a.Version,
+		Fresh:   !t.atHand(a.Adapter),
 	}
 	if len(t.residents) >= t.Limits.AdapterSlots {
 		victim := t.victim(now)
@@ -413,7 +432,9 @@
 	r.state = statePresent
 	r.version = version
 	r.used = now
-	r.ready = now.Add(t.loadTime(adapter))
+	r.begun = now
+	r.fresh = !t.atHand(adapter)
+	r.ready = now.Add(t.loadTime(now, adapter))
 }
 
 // LoadFailed takes in that an order to load was not accepted.
@@ -421,13 +442,25 @@
 	delete(t.residents, adapter)
 }
 
-func (t *Target) loadTime(adapter string) time.Duration {
-	for _, name := range t.recent {
-		if name == adapter {
-			return recentLoad + loadMargin
-		}
+// Ready is when an adapter is expected to be in place.
+func (t *Target) Ready(adapter string) (time.Time, bool) {
+	r, ok := t.residents[adapter]
+	if !ok {
+		return time.Time{}, false
 	}
-	return freshLoad + loadMargin
+	return r.ready, true
+}
+
+// atHand reports whether the target has held an adapter lately.
+func (t *Target) atHand(adapter string) bool {
+	return slices.Contains(t.recent, adapter)
+}
+
+func (t *Target) loadTime(now time.Time, adapter string) time.Duration {
+	if t.atHand(adapter) {
+		return recentLoad + loadMargin
+	}
+	return t.Loads.Time(now) + loadMargin
 }
 
 // forget removes an adapter and remembers that the target has it at hand.
@@ -451,7 +484,10 @@
 	switch {
 	case a.Adapter == "":
 	case r == nil || r.state == stateOrdering:
-		wait = t.loadTime(a.Adapter)
+		wait = t.loadTime(now, a.Adapter)
+		if !t.atHand(a.Adapter) {
+			wait += t.Loads.Wait(now)
+		}
 	default:
 		wait = max(r.ready.Sub(now), 0)
 	}
@@ -531,9 +567,7 @@
 		return
 	case NoteNotRun:
 	case NoteMisdirected:
-		if r, ok := t.residents[g.adapter]; ok && r.state == statePresent {
-			delete(t.residents, g.adapter)
-		}
+		t.misdirected(now, g.adapter)
 	case NoteUnreachable:
 		t.suspect(now)
 	case NoteFailed:
@@ -545,6 +579,25 @@
 	t.end(n.ID, g)
 }
 
+// misdirected takes in that the target does not hold an adapter yet, or any more.
+func (t *Target) misdirected(now time.Time, adapter string) {
+	r, ok := t.residents[adapter]
+	if !ok || r.state != statePresent {
+		return
+	}
+	took := now.Sub(r.begun)
+	if r.begun.IsZero() || took > maxLoad {
+		delete(t.residents, adapter)
+		return
+	}
+	if r.fresh {
+		t.Loads.Took(now, took)
+	}
+	if !now.Before(r.ready) {
+		r.ready = now.Add(max(time.Duration(moreLoad*float64(took)), recentLoad))
+	}
+}
+
 // troubled takes in whether a run failed.
 func (t *Target) troubled(now time.Time, bad float64) {
 	t.trouble = t.troubleNow(now)*(1-troubleGain) + bad*troubleGain
