--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -33,6 +33,8 @@
 	cfg   *conf.Config
 	w     http.ResponseWriter
 	begun time.Time
+	// demand is how often a second this instance is asked for the adapter.
+	demand float64
 	// ran is set once a target may have run the request.
 	ran bool
 	// relayed is set once the caller has got the head of the answer.
@@ -189,13 +191,13 @@
 	took := time.Since(x.begun)
 	line := x.gate.Log.Info()
 	if x.Call != nil {
-		line.Str("request", x.Call.ID)
+		line.Str("request", x.Call.ID).Int64("tokens", x.Call.Tokens())
 	}
 	if x.Route != nil {
 		line.Str("route", x.Route.Name)
 	}
 	if x.Org != nil {
-		line.Str("organisation", x.Org.Name)
+		line.Str("organisation", x.Org.Name).Int64("rate", x.Org.Rate)
 	}
 	if x.cfg != nil {
 		line.Uint64("configuration", x.cfg.Version)
--- a/gate/router.go
+++ b/gate/router.go
@@ -34,9 +34,16 @@
 	// promptShare what any may take that counts as prompt.
 	eagerShare  = 0.35
 	promptShare = 0.85
+	// hotDemand is how often a second an adapter is asked for, over all
+	// instances, from which on it is brought to a further target early.
+	hotDemand = 1.5
 	// lateShare of the time that is left is what a late answer may take to
 	// begin.
 	lateShare = 0.8
+	// placeShare of a request's time may pass until it has a place, and
+	// placePause is left between two rounds of asking.
+	placeShare = 0.4
+	placePause = 60 * time.Millisecond
 	// noteTime is how long notes are gathered before they are sent.
 	noteTime    = 25 * time.Millisecond
 	noteTimeout = 500 * time.Millisecond
@@ -56,6 +63,7 @@
 	Log     log.Logger
 
 	balancer sched.Balancer
+	demand   sched.Demand
 	mu       sync.Mutex
 	silent   map[string]time.Time
 	heard    map[string]time.Time
@@ -203,10 +211,23 @@
 	}, ""
 }
 
-// engine asks the managers of the request's targets in the order of its adapter,
+// engine finds a target of a model service. While none has a place, it asks
+// again, up to a share of the request's time: places come free at any moment.
+func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
+	x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
+	patience := x.begun.Add(time.Duration(placeShare * float64(x.Until.Sub(x.begun))))
+	for {
+		p, reason := r.engineOnce(ctx, x, view, targets)
+		if p != nil || !time.Now().Before(patience) || !sleep(ctx, placePause) {
+			return p, reason
+		}
+	}
+}
+
+// engineOnce asks the managers of the request's targets in the order of its adapter,
 // at first with little patience, so that a request stays with the targets that
 // hold its adapter as long as they are quick.
-func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
+func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
 	key := x.Call.AdapterName()
 	if key == "" {
 		key = x.Call.ID
@@ -217,27 +238,9 @@
 		return x.Call.Model == "" || len((*t).Models) == 0 || (*t).Holds(x.Call.Model)
 	})
 	version, _ := view.Version(x.Call.AdapterName())
-	objective := x.Route.Objective - time.Since(x.begun)
-	passes := []struct {
-		choices int
-		limit   time.Duration
-	}{
-		{
-			choices: nearChoices,
-			limit:   time.Duration(eagerShare * float64(objective)),
-		},
-		{
-			choices: allChoices,
-			limit:   time.Duration(promptShare * float64(objective)),
-		},
-		{
-			choices: allChoices,
-			limit:   time.Duration(lateShare * float64(x.Until.Sub(time.Now()))),
-		},
-	}
 	reason := "no-manager"
 	expected := make(map[string]time.Duration)
-	for _, pass := range passes {
+	for _, pass := range r.passes(x, time.Now()) {
 		for i, t := range order {
 			if e, known := expected[t.ID]; i >= pass.choices || known && (e == 0 || e > pass.limit) {
 				continue
@@ -245,7 +248,7 @@
 			if ctx.Err() != nil {
 				return nil, "timeout"
 			}
-			p, reply := r.ask(ctx, x, view, t, version, pass.limit)
+			p, reply := r.ask(ctx, x, view, t, version, pass)
 			if p != nil {
 				return p, ""
 			}
@@ -258,9 +261,50 @@
 	return nil, reason
 }
 
+// pass is one round of asking the targets of a request in their order.
+type pass struct {
+	choices int
+	// limit is the longest time to the first token.
+	limit time.Duration
+	// fetch allows to bring the adapter from the weight store.
+	fetch bool
+}
+
+// passes are the rounds of asking: first for a quick answer where the adapter is
+// at hand, then for a prompt one, then for any. An adapter that is wanted often
+// is brought to further targets before those that hold it are busy; another one
+// only if no target that has it at hand is prompt.
+func (r *Router) passes(x *Exchange, now time.Time) []pass {
+	objective := x.Route.Objective - now.Sub(x.begun)
+	eager := time.Duration(eagerShare * float64(objective))
+	prompt := time.Duration(promptShare * float64(objective))
+	late := time.Duration(lateShare * float64(x.Until.Sub(now)))
+	rounds := []pass{
+		{
+			choices: nearChoices,
+			limit:   eager,
+		},
+	}
+	if x.demand*float64(len(r.Book.View().Instances())) < hotDemand {
+		rounds = append(rounds, pass{
+			choices: nearChoices,
+			limit:   prompt,
+		})
+	}
+	return append(rounds, pass{
+		choices: allChoices,
+		limit:   prompt,
+		fetch:   true,
+	}, pass{
+		choices: allChoices,
+		limit:   late,
+		fetch:   true,
+	})
+}
+
 // ask asks a target's manager, and holds the request back until the target is
 // ready for it.
-func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, limit time.Duration) (*Place, wire.AskReply) {
+func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round pass) (*Place, wire.AskReply) {
 	m, ok := view.Manager(t.ID)
 	if !ok || r.isSilent(time.Now(), m.Instance) {
 		return nil, wire.AskReply{}
@@ -280,8 +324,9 @@
 			Version: version,
 			Prompt:  x.Call.PromptTokens,
 			Output:  x.Call.OutputTokens,
-			Limit:   limit,
+			Limit:   round.limit,
 			Left:    time.Until(x.Until),
+			NoFetch: !round.fetch,
 		},
 	}
 	reply := r.call(ctx, view, p, args)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -98,6 +98,8 @@
 	Limit time.Duration
 	// Left is how long the caller still waits.
 	Left time.Duration
+	// NoFetch declines if the adapter would have to come from the weight store.
+	NoFetch bool
 }
 
 // Decision answers an Ask. It is one of Granted, Load, Busy and Declined.
@@ -138,6 +140,7 @@
 	ReasonCold      Reason = "cold"
 	ReasonSuspected Reason = "suspected"
 	ReasonOutdated  Reason = "outdated-adapter-in-use"
+	ReasonFetch     Reason = "adapter-not-at-hand"
 	ReasonNoOrders  Reason = "orders-not-allowed"
 )
 
@@ -318,6 +321,12 @@
 	}
 	r := t.residents[a.Adapter]
 	expected := t.expected(now, a, r)
+	if a.NoFetch && a.Adapter != "" && r == nil && !t.atHand(a.Adapter) {
+		return Declined{
+			Reason:   ReasonFetch,
+			Expected: expected,
+		}
+	}
 	if expected > a.Limit {
 		return Declined{
 			Reason:   ReasonSlow,
