--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,32 +1,36 @@
-// Package feed follows the keys under a prefix of the platform's store: it lists
-// them once, then watches. A lost history, a lost answer and an outage end in a
-// new listing or a new watch; what was known meanwhile stays.
+// Package feed follows the keys under prefixes of the platform's store. One
+// instance, the reader, lists and watches them and tells the others what has
+// changed; the others watch themselves only while they hear of no reader. So the
+// calls of the store do not grow with the fleet, and an instance that the store
+// turns away still learns of changes.
+//
+// A lost history, a lost answer and an outage end in a new listing or a new watch;
+// what was known meanwhile stays.
 //
 // # Usage
 //
 //	f := &feed.Follower{KV: kv, Prefix: "servers/", Apply: apply}
-//	go f.Run(ctx)
+//	h := &feed.Hub{Self: name, Followers: []*feed.Follower{f}, Peers: peers, Send: send, Health: health}
+//	go h.Run(ctx)
 package feed
 
 import (
 	"context"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
-	"currantstile/clock"
 	"currantstile/store"
 )
 
 const (
 	// watchWait is how long one watch waits for changes.
-	watchWait = 10 * time.Second
-	// gatherPause is left between two watches, so that a series of changes costs
-	// one call and not one each.
-	gatherPause = 100 * time.Millisecond
+	watchWait = 4 * time.Second
+	// DefaultPause is left between two watches.
+	DefaultPause = 100 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
@@ -35,86 +39,94 @@
 // Change is one key that was written or deleted.
 type Change struct {
 	Entry store.Entry
-	// Listed marks a change that comes from a listing and not from a watch.
-	Listed bool
 }
 
 // Follower follows one prefix. Its exported fields are set before Run.
 type Follower struct {
 	KV     store.KV
 	Prefix string
-	// Apply takes in changes, in order. It is called by one goroutine.
+	// Apply takes in changes, in order. Calls do not overlap.
 	Apply func(now time.Time, changes []Change)
+	// Same reports whether a new value says nothing new; such a change is not
+	// applied. Nil takes every change for new.
+	Same func(old, new []byte) bool
+	// Pause is left between two watches, so that a series of changes costs one
+	// call and not one each; DefaultPause if zero.
+	Pause time.Duration
 	// Health is told of each call's success or failure; it may be nil.
 	Health *Health
 	Log    log.Logger
 
-	known    map[string]store.Revision
+	hub   *Hub
+	retry time.Duration
+
+	mu    sync.Mutex
+	known map[string]store.Entry
+	// revision is up to where the prefix is known, and material that of the last
+	// change that said something new.
 	revision store.Revision
-	listed   atomic.Bool
+	material store.Revision
+	// behind is set when a change was missed that only the store can tell.
+	behind bool
 }
 
 // Listed reports whether the prefix was read at least once.
 func (f *Follower) Listed() bool {
-	return f.listed.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision > 0
 }
 
-// Run follows the prefix until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	retry := minRetry
-	for ctx.Err() == nil {
-		err := f.step(ctx)
-		f.Health.note(time.Now(), err)
-		pause := gatherPause
-		switch {
-		case err == nil:
-			retry = minRetry
-		case errors.Is(err, store.ErrCompacted):
-			f.Log.Info().Msgf("feed: history of %s is gone; listing again", f.Prefix)
-			f.revision = 0
-			pause = 0
-		default:
-			if retry == minRetry && ctx.Err() == nil {
-				f.Log.Warn().Err(err).Msgf("feed: %s cannot be followed; keeping what is known", f.Prefix)
-			}
-			pause = retry
-			retry = min(2*retry, maxRetry)
-		}
-		clock.Sleep(ctx, pause)
-	}
+// Known returns a key as last seen.
+func (f *Follower) Known(key string) (store.Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.known[key]
+	return e, ok
 }
 
-func (f *Follower) step(ctx context.Context) error {
-	if f.revision == 0 {
-		return f.list(ctx)
-	}
-	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, watchWait)
-	if err != nil {
-		return err
+// step makes one call, and returns how long to wait before the next one.
+func (f *Follower) step(ctx context.Context) time.Duration {
+	var err error
+	if f.Listed() {
+		err = f.watch(ctx)
+	} else {
+		err = f.list(ctx)
 	}
-	changes := make([]Change, 0, len(b.Entries))
-	for _, e := range b.Entries {
-		if !strings.HasPrefix(e.Key, f.Prefix) || e.Revision <= f.known[e.Key] {
-			continue
+	f.Health.Note(time.Now(), err)
+	switch {
+	case err == nil:
+		f.retry = minRetry
+		if f.Pause == 0 {
+			return DefaultPause
 		}
-		f.remember(e)
-		changes = append(changes, Change{
-			Entry: e,
-		})
-	}
-	f.revision = max(f.revision, b.Revision)
-	if len(changes) > 0 {
-		f.Apply(time.Now(), changes)
+		return f.Pause
+	case errors.Is(err, store.ErrCompacted):
+		f.Log.Info().Msgf("feed: history of %s is gone; listing again", f.Prefix)
+		f.mu.Lock()
+		f.revision = 0
+		f.mu.Unlock()
+		return 0
+	default:
+		if f.retry <= minRetry && ctx.Err() == nil {
+			f.Log.Warn().Err(err).Msgf("feed: %s cannot be followed; keeping what is known", f.Prefix)
+		}
+		pause := max(f.retry, minRetry)
+		f.retry = min(2*pause, maxRetry)
+		return pause
 	}
-	return nil
 }
 
-func (f *Follower) remember(e store.Entry) {
-	if e.Deleted {
-		delete(f.known, e.Key)
-		return
+func (f *Follower) watch(ctx context.Context) error {
+	f.mu.Lock()
+	after := f.revision
+	f.mu.Unlock()
+	b, err := f.KV.Watch(ctx, f.Prefix, after, watchWait)
+	if err != nil {
+		return err
 	}
-	f.known[e.Key] = e.Revision
+	f.take(b.Entries, max(after, b.Revision), false)
+	return nil
 }
 
 // list reads all keys, and finds those that are gone since.
@@ -123,75 +135,112 @@
 	if err != nil {
 		return err
 	}
-	before := f.known
-	f.known = make(map[string]store.Revision, len(b.Entries))
-	var changes []Change
-	for _, e := range b.Entries {
-		f.known[e.Key] = e.Revision
-		if e.Revision > before[e.Key] {
-			changes = append(changes, Change{
-				Entry:  e,
-				Listed: true,
-			})
-		}
-		delete(before, e.Key)
+	entries := b.Entries
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = true
 	}
-	for key := range before {
-		changes = append(changes, Change{
-			Entry: store.Entry{
+	f.mu.Lock()
+	for key := range f.known {
+		if !listed[key] {
+			entries = append(entries, store.Entry{
 				Key:      key,
 				Revision: b.Revision,
 				Deleted:  true,
-			},
-			Listed: true,
-		})
+			})
+		}
 	}
-	f.revision = max(b.Revision, 1)
-	f.Apply(time.Now(), changes)
-	f.listed.Store(true)
+	f.mu.Unlock()
+	f.take(entries, max(b.Revision, 1), true)
 	return nil
 }
 
-// Health is when the store was last reached and last missed. The zero value is
-// ready for use, and a nil Health takes no notes.
-type Health struct {
-	reached atomic.Int64
-	missed  atomic.Int64
-}
-
-func (h *Health) note(now time.Time, err error) {
-	if err == nil || errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrNotFound) || store.IsConflict(err) {
-		h.Reached(now)
+// take applies what is new in entries that reach up to a revision, and tells the
+// other instances.
+func (f *Follower) take(entries store.Entries, upTo store.Revision, listed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.material
+	fresh := f.apply(entries)
+	f.revision = max(f.revision, upTo)
+	f.behind = false
+	if len(fresh) == 0 && !listed {
 		return
 	}
-	h.Missed(now)
-}
-
-// Reached notes an answer of the store.
-func (h *Health) Reached(now time.Time) {
-	if h != nil {
-		h.reached.Store(now.UnixNano())
+	f.material = max(f.material, upTo)
+	if f.hub != nil && len(fresh) > 0 {
+		f.hub.push(Part{
+			Prefix:  f.Prefix,
+			Before:  before,
+			UpTo:    f.revision,
+			Entries: fresh,
+		})
 	}
 }
 
-// Missed notes a call that the store did not carry out.
-func (h *Health) Missed(now time.Time) {
-	if h != nil {
-		h.missed.Store(now.UnixNano())
+// apply remembers entries and applies those that say something new. The caller
+// holds mu.
+func (f *Follower) apply(entries store.Entries) store.Entries {
+	if f.known == nil {
+		f.known = make(map[string]store.Entry)
+	}
+	var changes []Change
+	var fresh store.Entries
+	for _, e := range entries {
+		old, ok := f.known[e.Key]
+		if !strings.HasPrefix(e.Key, f.Prefix) || ok && e.Revision <= old.Revision || !ok && e.Deleted {
+			continue
+		}
+		if e.Deleted {
+			delete(f.known, e.Key)
+		} else {
+			f.known[e.Key] = e
+		}
+		if ok && !e.Deleted && f.Same != nil && f.Same(old.Value, e.Value) {
+			continue
+		}
+		fresh = append(fresh, e)
+		changes = append(changes, Change{
+			Entry: e,
+		})
 	}
+	if len(changes) > 0 {
+		f.Apply(time.Now(), changes)
+	}
+	return fresh
 }
 
-// Away reports whether the store was last missed and not reached since.
-func (h *Health) Away() bool {
-	return h.missed.Load() > h.reached.Load()
+// receive takes in what a reader tells. It reports false if something was missed
+// that only the store can tell.
+func (f *Follower) receive(p Part) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision == 0 || p.Before > f.revision {
+		f.behind = true
+		return false
+	}
+	f.apply(p.Entries)
+	f.revision = max(f.revision, p.UpTo)
+	if len(p.Entries) > 0 {
+		f.material = max(f.material, p.UpTo)
+	}
+	return true
 }
 
-// SinceMissed is how long ago the store was last missed.
-func (h *Health) SinceMissed(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - h.missed.Load())
+// mark is where the prefix stands, for an instance that may have missed a change.
+func (f *Follower) mark() Part {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Part{
+		Prefix: f.Prefix,
+		Before: f.material,
+		UpTo:   f.revision,
+	}
 }
 
-// LastReached is when the store last answered.
-func (h *Health) LastReached() time.Time {
-	return time.Unix(0, h.reached.Load())
+// needsStore reports whether the store has to be asked in any case.
+func (f *Follower) needsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision == 0 || f.behind
 }
--- /dev/null
+++ b/feed/hub.go
@@ -0,0 +1,227 @@
+package feed
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"currantstile/clock"
+	"currantstile/route"
+	"currantstile/store"
+)
+
+const (
+	// pingTime is how often a reader shows that it is there.
+	pingTime = 400 * time.Millisecond
+	// silentTime is how long nothing has to be heard of a reader until the next
+	// instance reads, and rankTime is added for each one before it.
+	silentTime = 1000 * time.Millisecond
+	rankTime   = 150 * time.Millisecond
+	maxRank    = 8
+	// freshTime is how recently a reader must have reached the store.
+	freshTime = 1500 * time.Millisecond
+	// roleTime is how often an instance that listens looks whether to read.
+	roleTime = 100 * time.Millisecond
+	// sendTimeout bounds one message to another instance.
+	sendTimeout = 400 * time.Millisecond
+)
+
+// Part is what is told of one prefix.
+type Part struct {
+	Prefix string
+	// Before is the revision of the change that was told before; whoever has not
+	// seen that one has missed something.
+	Before store.Revision
+	// UpTo is the revision up to which the prefix is known with this part.
+	UpTo    store.Revision
+	Entries store.Entries
+}
+
+// Message is what a reader tells the other instances.
+type Message struct {
+	From  string
+	Parts []Part
+}
+
+// Peer is another instance.
+type Peer struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Hub decides who reads the store, and carries changes between instances. Its
+// exported fields are set before Run.
+type Hub struct {
+	Self      string
+	Followers []*Follower
+	// Peers lists all instances, this one included if it is known.
+	Peers func() []Peer
+	// Send brings a message to another instance.
+	Send   func(ctx context.Context, to Peer, m Message) error
+	Health *Health
+	Log    log.Logger
+
+	mu    sync.Mutex
+	heard time.Time
+	// from is who read last, for the log.
+	from    string
+	reading bool
+	queue   chan Part
+}
+
+// Run follows all prefixes until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	h.mu.Lock()
+	h.queue = make(chan Part, 256)
+	h.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, f := range h.Followers {
+		f.hub = h
+		wg.Go(func() {
+			h.follow(ctx, f)
+		})
+	}
+	wg.Go(func() {
+		h.tell(ctx)
+	})
+	wg.Wait()
+}
+
+// follow reads one prefix while this instance is to read.
+func (h *Hub) follow(ctx context.Context, f *Follower) {
+	for ctx.Err() == nil {
+		if !h.mayRead(time.Now()) && !f.needsStore() {
+			clock.Sleep(ctx, roleTime)
+			continue
+		}
+		clock.Sleep(ctx, f.step(ctx))
+	}
+}
+
+// mayRead reports whether this instance is the reader now.
+func (h *Hub) mayRead(now time.Time) bool {
+	rank := h.rank()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wait := silentTime + time.Duration(min(rank, maxRank))*rankTime
+	reading := rank == 0 || now.Sub(h.heard) > wait
+	if reading != h.reading {
+		h.reading = reading
+		h.Log.Info().Bool("reading", reading).Int("rank", rank).Str("heard-from", h.from).Msg("feed: role changed")
+	}
+	return reading
+}
+
+// rank is this instance's place in the order of readers.
+func (h *Hub) rank() int {
+	peers := h.Peers()
+	order := route.TopBy("reader", peers, func(p *Peer) string {
+		return p.Name
+	}, maxRank, func(*Peer) bool {
+		return true
+	})
+	for i, p := range order {
+		if p.Name == h.Self {
+			return i
+		}
+	}
+	if len(peers) == 0 {
+		return 0
+	}
+	return maxRank
+}
+
+// push queues what was read for the other instances. A part that finds the queue
+// full is missed by them, which the next one shows.
+func (h *Hub) push(p Part) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.queue == nil {
+		return
+	}
+	select {
+	case h.queue <- p:
+	default:
+		h.Log.Warn().Msgf("feed: too much is queued; a change of %s is not passed on", p.Prefix)
+	}
+}
+
+// tell sends what was read, and shows now and then that this instance reads.
+func (h *Hub) tell(ctx context.Context) {
+	t := time.NewTicker(pingTime)
+	defer t.Stop()
+	for {
+		select {
+		case p := <-h.queue:
+			m := Message{
+				From:  h.Self,
+				Parts: []Part{p},
+			}
+			for more := true; more; {
+				select {
+				case p := <-h.queue:
+					m.Parts = append(m.Parts, p)
+				default:
+					more = false
+				}
+			}
+			h.send(ctx, m)
+		case now := <-t.C:
+			if h.fresh(now) {
+				h.send(ctx, h.ping())
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fresh reports whether this instance reads and has reached the store lately.
+func (h *Hub) fresh(now time.Time) bool {
+	return h.mayRead(now) && !h.Health.Away() && now.Sub(h.Health.LastReached()) < freshTime
+}
+
+func (h *Hub) ping() Message {
+	m := Message{
+		From: h.Self,
+	}
+	for _, f := range h.Followers {
+		if p := f.mark(); p.UpTo > 0 {
+			m.Parts = append(m.Parts, p)
+		}
+	}
+	return m
+}
+
+func (h *Hub) send(ctx context.Context, m Message) {
+	for _, p := range h.Peers() {
+		if p.Name == h.Self {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+			defer cancel()
+			if err := h.Send(ctx, p, m); err != nil {
+				h.Log.Debug().Err(err).Str("instance", p.Name).Msg("feed: change not passed on")
+			}
+		}()
+	}
+}
+
+// Receive takes in a reader's message.
+func (h *Hub) Receive(now time.Time, m Message) {
+	h.mu.Lock()
+	h.heard = now
+	h.from = m.From
+	h.mu.Unlock()
+	for _, p := range m.Parts {
+		for _, f := range h.Followers {
+			if f.Prefix == p.Prefix {
+				f.receive(p)
+			}
+		}
+	}
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -11,6 +11,7 @@
 	"currantstile/allot"
 	"currantstile/clock"
 	"currantstile/conf"
+	"currantstile/feed"
 	"currantstile/gate"
 	"currantstile/member"
 	"currantstile/model"
@@ -55,8 +56,12 @@
 		ledger: quota.NewLedger(),
 	}
 	l.keeper = &share.Keeper{
-		Self:    share.Part(holder, model.InstanceID(n.Settings.Name), n.Settings.Peers),
-		KV:      n.KV,
+		Self: share.Part(holder, model.InstanceID(n.Settings.Name), n.Settings.Peers),
+		KV: &feed.Cached{
+			KV:       n.KV,
+			Follower: n.own,
+			Hub:      n.hub,
+		},
 		Ledger:  l.ledger,
 		Members: l.members,
 		Version: l.tableVersion,
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,9 @@
 	// be due to it.
 	storeWindow = 3 * time.Second
 	houseTime   = 250 * time.Millisecond
+	// targetsPause gathers what targets write, which they do about once a second
+	// each; a leaving target is to get nothing after two seconds.
+	targetsPause = 300 * time.Millisecond
 )
 
 // Node is one instance. Its exported fields are set before Start.
@@ -80,7 +83,8 @@
 	limits   *limits
 	router   *gate.Router
 	gate     *gate.Gate
-	feeds    []*feed.Follower
+	hub      *feed.Hub
+	own      *feed.Follower
 	figures  *figures
 	servers  []*http.Server
 	draining atomic.Bool
@@ -105,8 +109,9 @@
 	n.pool = &peer.Pool{}
 	n.figures = newFigures()
 	n.buildTargets()
-	n.buildGate()
 	n.buildFeeds()
+	n.limits = newLimits(n)
+	n.buildGate()
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	n.cancel = cancel
 	if err := n.listen(); err != nil {
@@ -145,7 +150,6 @@
 		Holder:  s.Name,
 		Log:     n.Log,
 	}
-	n.limits = newLimits(n)
 }
 
 // buildGate makes the callers' interface and what it sends with.
@@ -181,6 +185,9 @@
 				Manager: n.manager,
 			},
 			wire.ServicePeer: n.limits.service(),
+			wire.ServiceFeed: &FeedService{
+				hub: n.hub,
+			},
 		},
 	}
 }
@@ -188,19 +195,54 @@
 // buildFeeds follows the keys of the platform and those of the project.
 func (n *Node) buildFeeds() {
 	operators, targets := n.Sources.Prefixes()
-	for prefix, apply := range map[string]func(time.Time, []feed.Change){
-		operators:   n.applyOperator,
-		targets:     n.applyTargets,
-		lead.Prefix: n.session.Apply,
-	} {
-		n.feeds = append(n.feeds, &feed.Follower{
-			KV:     n.KV,
-			Prefix: prefix,
-			Apply:  apply,
-			Health: &n.health,
-			Log:    n.Log,
+	n.own = n.follower(lead.Prefix, n.session.Apply)
+	seen := n.follower(targets, n.applyTargets)
+	seen.Same = n.Sources.Same
+	seen.Pause = targetsPause
+	n.hub = &feed.Hub{
+		Self:      n.Settings.Name,
+		Followers: []*feed.Follower{n.follower(operators, n.applyOperator), seen, n.own},
+		Peers:     n.fellows,
+		Send: func(ctx context.Context, to feed.Peer, m feed.Message) error {
+			return n.pool.Call(ctx, to.Addr, wire.MethodPush, m, &wire.Empty{})
+		},
+		Health: &n.health,
+		Log:    n.Log,
+	}
+}
+
+func (n *Node) follower(prefix string, apply func(time.Time, []feed.Change)) *feed.Follower {
+	return &feed.Follower{
+		KV:     n.KV,
+		Prefix: prefix,
+		Apply:  apply,
+		Health: &n.health,
+		Log:    n.Log,
+	}
+}
+
+// fellows lists all instances.
+func (n *Node) fellows() []feed.Peer {
+	instances := n.book.View().Instances()
+	peers := make([]feed.Peer, 0, len(instances))
+	for _, i := range instances {
+		peers = append(peers, feed.Peer{
+			Name: i.Name,
+			Addr: i.Peers,
 		})
 	}
+	return peers
+}
+
+// FeedService gives net/rpc the method signatures that it wants.
+type FeedService struct {
+	hub *feed.Hub
+}
+
+// Push answers wire.MethodPush.
+func (s *FeedService) Push(m feed.Message, _ *wire.Empty) error {
+	s.hub.Receive(time.Now(), m)
+	return nil
 }
 
 func (n *Node) listen() error {
@@ -251,9 +293,7 @@
 		n.gate.Run,
 		n.limits.run,
 		n.house,
-	}
-	for _, f := range n.feeds {
-		loops = append(loops, f.Run)
+		n.hub.Run,
 	}
 	for _, loop := range loops {
 		n.wg.Go(func() {
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -40,3 +40,10 @@
 	Target string
 	Notes  []sched.Note
 }
+
+// Methods by which the reader of the store tells the other instances.
+const (
+	// ServiceFeed is the name that they are registered under.
+	ServiceFeed = "Feed"
+	MethodPush  = "Feed.Push"
+)
