--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -29,7 +29,7 @@
 	// reportTimeout bounds one report.
 	reportTimeout = 500 * time.Millisecond
 	// reportLag is by how much a target's report lags behind.
-	reportLag = 350 * time.Millisecond
+	reportLag = 700 * time.Millisecond
 	// busyWait bounds how long an ask waits for an order of another ask.
 	busyWait = 500 * time.Millisecond
 	// permitWait bounds how long a load waits for its turn.
@@ -56,7 +56,7 @@
 }
 
 // Result says what a target made of an order. It is one of Accepted, Conflict,
-// Fenced and Rejected.
+// Fenced, Rejected and Unknown.
 type Result interface {
 	result()
 }
@@ -65,6 +65,8 @@
 type Accepted struct {
 	// Counted reports whether the order counts as one more accepted.
 	Counted bool
+	// Done reports whether it has been carried out.
+	Done bool
 }
 
 // Conflict is an order that came while another one was under way, or after
@@ -79,10 +81,14 @@
 	Status int
 }
 
+// Unknown is an order that has no answer; it may be carried out yet.
+type Unknown struct{}
+
 func (Accepted) result() {}
 func (Conflict) result() {}
 func (Fenced) result()   {}
 func (Rejected) result() {}
+func (Unknown) result()  {}
 
 // Report is what a target says of itself.
 type Report struct {
@@ -177,6 +183,7 @@
 			changed: make(chan struct{}),
 		}
 		mt.state.Loads = &m.loads
+		mt.state.Unsure = true
 		m.targets[t.ID] = mt
 	}
 	m.mu.Unlock()
@@ -207,8 +214,12 @@
 		return
 	}
 	mt.synced = true
+	mt.state.Unsure = false
 	mt.accepted = r.Accepted
 	mt.state.Reported(now, r.Adapters)
+	if mt.state.Doubts() {
+		m.unsure(mt)
+	}
 	mt.wake()
 	m.Log.Info().Str("target", mt.target.ID).Uint64("accepted", r.Accepted).Int("adapters", len(r.Adapters)).
 		Int("running", r.Running).Int("waiting", r.Waiting).Msg("mgmt: target reported")
@@ -283,42 +294,69 @@
 		case <-permit:
 		case <-time.After(permitWait):
 			m.loads.Leave(permit)
-			mt.mu.Lock()
-			defer mt.mu.Unlock()
-			mt.state.Unloaded(d.Unload, false)
-			mt.state.LoadFailed(d.Adapter)
-			mt.wake()
+			m.settle(mt, d, nil, nil)
 			return false
 		}
 		defer m.leaveAtEnd(mt, d.Adapter, permit)
 	}
 	mt.ordering.Lock()
 	defer mt.ordering.Unlock()
-	ok := true
+	var unloaded, loaded Result
+	mt.mu.Lock()
+	room := mt.state.Room(d.Unload)
+	mt.mu.Unlock()
+	if !room {
+		return m.settle(mt, d, nil, nil)
+	}
+	unloaded = Accepted{
+		Done: true,
+	}
 	if d.Unload != "" {
-		ok = m.order(mt, Order{
+		unloaded = m.order(mt, Order{
 			Adapter: d.Unload,
 		})
-		mt.mu.Lock()
-		mt.state.Unloaded(d.Unload, ok)
-		mt.mu.Unlock()
 	}
-	if ok {
-		ok = m.order(mt, Order{
+	if a, ok := unloaded.(Accepted); ok && a.Done {
+		loaded = m.order(mt, Order{
 			Load:    true,
 			Adapter: d.Adapter,
 			Version: d.Version,
 		})
 	}
+	return m.settle(mt, d, unloaded, loaded)
+}
+
+// settle takes in the results of the two orders of a load; nil is an order that
+// was not sent. It reports whether the adapter is on its way.
+func (m *Manager) settle(mt *managed, d sched.Load, unloaded, loaded Result) bool {
+	now := time.Now()
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
-	if ok {
-		mt.state.Loaded(time.Now(), d.Adapter, d.Version)
-	} else {
+	defer mt.wake()
+	switch r := unloaded.(type) {
+	case Accepted:
+		if r.Done {
+			mt.state.Unloaded(d.Unload)
+		} else {
+			// Requests that this manager does not know of still use it.
+			mt.state.Doubt(now, d.Unload)
+			m.unsure(mt)
+		}
+	case Unknown:
+		mt.state.Doubt(now, d.Unload)
+	default:
+		mt.state.Kept(d.Unload)
+	}
+	switch loaded.(type) {
+	case Accepted:
+		mt.state.Loaded(now, d.Adapter, d.Version)
+		return true
+	case Unknown:
+		mt.state.Doubt(now, d.Adapter)
+	default:
 		mt.state.LoadFailed(d.Adapter)
 	}
-	mt.wake()
-	return ok
+	return false
 }
 
 // leaveAtEnd gives a permit back when the load is expected to have ended.
@@ -338,8 +376,10 @@
 
 // order sends an order, again if its answer is lost: a target accepts an order
 // only after the number of orders that it names, so that at most one of them is
-// carried out, however late the first one arrives.
-func (m *Manager) order(mt *managed, o Order) bool {
+// carried out, however late the first one arrives. It returns nil if nothing was
+// sent.
+func (m *Manager) order(mt *managed, o Order) Result {
+	var result Result
 	for range orderTries {
 		mt.mu.Lock()
 		o.Target, o.Accepted = mt.target, mt.accepted
@@ -347,45 +387,46 @@
 		mt.mu.Unlock()
 		fence, ok := m.Session.MayOrder(time.Now(), o.Target.ID)
 		if !ok || !synced {
-			return false
+			return result
 		}
 		o.Fence, o.Holder = fence, m.Holder
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		result, err := m.Orders.Order(ctx, o)
+		var err error
+		result, err = m.Orders.Order(ctx, o)
 		cancel()
-		line := m.Log.Info().Str("target", o.Target.ID).Bool("load", o.Load).Str("adapter", o.Adapter).
-			Uint64("version", o.Version).Uint64("fence", fence).Uint64("accepted", o.Accepted)
 		if err != nil {
-			line.Err(err).Msg("mgmt: order has no answer")
-			continue
+			result = Unknown{}
 		}
-		line.Msgf("mgmt: order ends as %T", result)
-		switch r := result.(type) {
-		case Accepted:
-			mt.mu.Lock()
-			if r.Counted {
-				mt.accepted++
-			}
-			mt.mu.Unlock()
-			return true
-		case Fenced:
-			m.Session.Refused(o.Target.ID, fence)
-			return false
-		default:
-			m.unsure(mt)
-			return false
+		m.Log.Info().Err(err).Str("target", o.Target.ID).Bool("load", o.Load).Str("adapter", o.Adapter).
+			Uint64("version", o.Version).Uint64("fence", fence).Uint64("accepted", o.Accepted).Msgf("mgmt: order ends as %T", result)
+		if err == nil {
+			break
 		}
 	}
-	m.unsure(mt)
-	return false
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	switch r := result.(type) {
+	case Accepted:
+		if r.Counted {
+			mt.accepted++
+		}
+	case Fenced:
+		m.Session.Refused(o.Target.ID, o.Fence)
+	default:
+		m.unsure(mt)
+	}
+	return result
 }
 
-// unsure has the target's report read again once it covers the last order.
+// unsure has the target's report read again once it covers the last order. The
+// caller holds mu.
 func (m *Manager) unsure(mt *managed) {
-	mt.mu.Lock()
 	mt.synced = false
+	mt.state.Unsure = true
+	if mt.syncing {
+		return
+	}
 	mt.syncing = true
-	mt.mu.Unlock()
 	time.AfterFunc(reportLag, func() {
 		m.sync(context.Background(), mt)
 	})
@@ -402,6 +443,9 @@
 		for _, n := range tn.Notes {
 			mt.state.Note(time.Now(), n)
 		}
+		if mt.synced && mt.state.Doubts() {
+			m.unsure(mt)
+		}
 		mt.mu.Unlock()
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -41,6 +41,8 @@
 	maxLoad = 3 * time.Second
 	// moreLoad of the time that a load has taken so far is waited once more.
 	moreLoad = 0.25
+	// reportLag is by how much a target's report may lag behind its orders.
+	reportLag = 700 * time.Millisecond
 	// recentAdapters is how many adapters a target keeps at hand besides those
 	// that it holds; from the deployments' sheets.
 	recentAdapters = 30
@@ -193,6 +195,9 @@
 const (
 	stateOrdering adapterState = iota + 1
 	statePresent
+	// stateDoubtful is an adapter of which only a report can tell whether it is
+	// there; it takes up room and serves nothing until then.
+	stateDoubtful
 )
 
 // resident is an adapter on a target.
@@ -226,6 +231,9 @@
 	Limits Limits
 	// Loads is shared by the targets of one manager.
 	Loads *Loads
+	// Unsure is set while it is not known what the target holds: then nothing is
+	// ordered.
+	Unsure bool
 
 	residents map[string]*resident
 	// recent are the adapters held lately, the latest last.
@@ -267,32 +275,51 @@
 	}
 }
 
-// Reported makes the adapters those that the target reports; loads that are
-// under way are kept.
+// Reported makes the adapters those that the target reports. A report lags, so
+// that what was ordered lately may be missing in it.
 func (t *Target) Reported(now time.Time, adapters map[string]uint64) {
 	for name, version := range adapters {
-		if r, ok := t.residents[name]; ok {
-			if r.state == statePresent {
-				r.version = version
+		r, ok := t.residents[name]
+		switch {
+		case !ok:
+			t.residents[name] = &resident{
+				state:   statePresent,
+				version: version,
+				ready:   now,
 			}
-			continue
-		}
-		t.residents[name] = &resident{
-			state:   statePresent,
-			version: version,
-			ready:   now,
+		case r.state != stateOrdering:
+			r.state = statePresent
+			r.version = version
 		}
 	}
 	for name, r := range t.residents {
-		if _, ok := adapters[name]; !ok && r.state == statePresent && r.running == 0 && now.After(r.ready) {
-			t.forget(name)
+		_, ok := adapters[name]
+		if ok || r.state == stateOrdering || r.running > 0 || now.Sub(r.begun) < reportLag {
+			continue
+		}
+		t.forget(name)
+	}
+}
+
+// Doubts reports whether only a report can tell what became of an adapter.
+func (t *Target) Doubts() bool {
+	for _, r := range t.residents {
+		if r.state == stateDoubtful {
+			return true
 		}
 	}
+	return false
 }
 
-// Adapters is how many adapters take up room.
-func (t *Target) Adapters() int {
-	return len(t.residents)
+// Room reports whether the adapters fit, those on their way included and without
+// one that is unloaded first, if any. What the target holds may have turned out to
+// be more than was known when a load was decided.
+func (t *Target) Room(unload string) bool {
+	n := len(t.residents)
+	if _, ok := t.residents[unload]; ok {
+		n--
+	}
+	return n <= t.Limits.AdapterSlots
 }
 
 // Running is how many grants are in use.
@@ -354,12 +381,20 @@
 		return t.beginLoad(now, a)
 	case r.state == stateOrdering:
 		return Busy{}
+	case r.state == stateDoubtful:
+		return Declined{
+			Reason: ReasonOutdated,
+		}
 	case r.version >= a.Version || a.Version == 0:
 		return nil
 	case r.running > 0:
 		return Declined{
 			Reason: ReasonOutdated,
 		}
+	case t.Unsure:
+		return Declined{
+			Reason: ReasonNoOrders,
+		}
 	default:
 		r.state = stateOrdering
 		return Load{
@@ -371,6 +406,11 @@
 }
 
 func (t *Target) beginLoad(now time.Time, a Ask) Decision {
+	if t.Unsure {
+		return Declined{
+			Reason: ReasonNoOrders,
+		}
+	}
 	inTransit := 0
 	for _, r := range t.residents {
 		if r.state == stateOrdering || now.Before(r.ready) {
@@ -419,17 +459,26 @@
 	return best
 }
 
-// Unloaded takes in the end of an order to unload.
-func (t *Target) Unloaded(adapter string, ok bool) {
-	r, found := t.residents[adapter]
-	if !found {
-		return
-	}
-	if ok {
+// Unloaded takes in that an order to unload has freed the adapter's room.
+func (t *Target) Unloaded(adapter string) {
+	if _, ok := t.residents[adapter]; ok {
 		t.forget(adapter)
-		return
 	}
-	r.state = statePresent
+}
+
+// Kept takes in that an adapter was not ordered after all.
+func (t *Target) Kept(adapter string) {
+	if r, ok := t.residents[adapter]; ok && r.state == stateOrdering {
+		r.state = statePresent
+	}
+}
+
+// Doubt takes in that an order may or may not be carried out.
+func (t *Target) Doubt(now time.Time, adapter string) {
+	if r, ok := t.residents[adapter]; ok {
+		r.state = stateDoubtful
+		r.begun = now
+	}
 }
 
 // Loaded takes in that an order to load was accepted.
@@ -446,7 +495,7 @@
 	r.ready = now.Add(t.loadTime(now, adapter))
 }
 
-// LoadFailed takes in that an order to load was not accepted.
+// LoadFailed takes in that an order to load certainly was not accepted.
 func (t *Target) LoadFailed(adapter string) {
 	delete(t.residents, adapter)
 }
@@ -596,7 +645,7 @@
 	}
 	took := now.Sub(r.begun)
 	if r.begun.IsZero() || took > maxLoad {
-		delete(t.residents, adapter)
+		r.state = stateDoubtful
 		return
 	}
 	if r.fresh {
