--- a/gate/router.go
+++ b/gate/router.go
@@ -340,9 +340,22 @@
 		return nil, wire.AskReply{}
 	}
 	p.held = reply.After
+	if !r.stillGood(p, x.Call.AdapterName()) {
+		p.end(time.Now(), endNotRun)
+		return nil, wire.AskReply{}
+	}
 	return p, reply
 }
 
+// stillGood reports whether a place may be used that was asked for a while ago:
+// its target may have begun to leave, or the adapter may have a new version.
+func (r *Router) stillGood(p *Place, adapter string) bool {
+	view := r.Book.View()
+	t, ok := view.Target(p.Target.ID)
+	version, _ := view.Version(adapter)
+	return ok && t.SameStart(&p.Target) && view.Usable(t) && version == p.Version
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -209,7 +209,9 @@
 	begun time.Time
 	ready time.Time
 	// fresh is set if the load is one from the weight store.
-	fresh   bool
+	fresh bool
+	// held is set once the target has some version of the adapter.
+	held    bool
 	used    time.Time
 	running int
 }
@@ -286,10 +288,12 @@
 				state:   statePresent,
 				version: version,
 				ready:   now,
+				held:    true,
 			}
 		case r.state != stateOrdering:
 			r.state = statePresent
 			r.version = version
+			r.held = true
 		}
 	}
 	for name, r := range t.residents {
@@ -488,6 +492,7 @@
 		return
 	}
 	r.state = statePresent
+	r.held = true
 	r.version = version
 	r.used = now
 	r.begun = now
@@ -495,9 +500,17 @@
 	r.ready = now.Add(t.loadTime(now, adapter))
 }
 
-// LoadFailed takes in that an order to load certainly was not accepted.
+// LoadFailed takes in that an order to load certainly was not accepted. An adapter
+// that was to be replaced by a newer version is still there.
 func (t *Target) LoadFailed(adapter string) {
-	delete(t.residents, adapter)
+	r, ok := t.residents[adapter]
+	switch {
+	case !ok:
+	case r.held:
+		r.state = statePresent
+	default:
+		delete(t.residents, adapter)
+	}
 }
 
 // Ready is when an adapter is expected to be in place.
