--- a/allot/right.go
+++ b/allot/right.go
@@ -20,8 +20,6 @@
 	Self Part
 	// Whole is what a table that does not exist yet is created with.
 	Whole int64
-	// Timing is how long parts stay and settle; DefaultTiming if zero.
-	Timing Timing
 
 	table    Table
 	observed bool
@@ -39,9 +37,6 @@
 	// without a gap up to listRead.
 	gone     map[Holder]time.Time
 	listRead time.Time
-	// succeeding is set while this process takes over the part of the one that
-	// listened at its address before.
-	succeeding bool
 	// writing is set while the fate of a write is not known.
 	writing bool
 }
@@ -71,7 +66,7 @@
 
 // FencedAt is when the part stops being usable without another sign.
 func (r *Right) FencedAt() time.Time {
-	return r.sighted.Add(r.timing().Fence)
+	return r.sighted.Add(FenceTime)
 }
 
 // Observe takes in a table that was read; the read was asked for at a time. While
@@ -95,10 +90,9 @@
 	if n := part.Removed - before.Removed; n > 0 {
 		r.gains = append(r.gains, gain{
 			weight: n,
-			from:   now.Add(r.settleTime()),
+			from:   now.Add(SettleTime),
 		})
 	}
-	r.succeeding = false
 	for h := range r.intents {
 		if p, ok := t.Find(h); !ok || p.Intent != r.Self.Holder {
 			delete(r.intents, h)
@@ -106,21 +100,6 @@
 	}
 }
 
-// settleTime is how long weight from a removed holder is left unused.
-func (r *Right) settleTime() time.Duration {
-	if r.succeeding {
-		return r.timing().Succession
-	}
-	return r.timing().Settle
-}
-
-func (r *Right) timing() Timing {
-	if r.Timing == (Timing{}) {
-		return DefaultTiming()
-	}
-	return r.Timing
-}
-
 // weight is this process's part in the table.
 func (r *Right) weight() int64 {
 	p, _ := r.table.Find(r.Self.Holder)
@@ -227,7 +206,6 @@
 		// A process that listens where another one did proves that the other
 		// one has ended.
 		if p.Addr == r.Self.Addr {
-			r.succeeding = true
 			return r.begin(r.table.remove(p, r.Self.Holder), r.weight())
 		}
 		if r.isListed(p, m) {
@@ -261,7 +239,7 @@
 
 // planIntent marks a gone holder, unless somebody else's intent is still young.
 func (r *Right) planIntent(now time.Time, p Part) (Table, bool) {
-	takeOver := 2 * r.timing().Reclaim
+	const takeOver = 2 * ReclaimTime
 	if p.Intent != "" && now.Sub(r.gone[p.Holder]) < takeOver {
 		return Table{}, false
 	}
@@ -276,8 +254,7 @@
 		r.intents[h] = now
 		return false
 	}
-	reclaim := r.timing().Reclaim
-	return now.Sub(r.intents[h]) >= reclaim && r.listRead.Sub(r.gone[h]) >= reclaim
+	return now.Sub(r.intents[h]) >= ReclaimTime && r.listRead.Sub(r.gone[h]) >= ReclaimTime
 }
 
 // planGive evens out the parts: a holder with more than an even part gives to
--- a/allot/table.go
+++ b/allot/table.go
@@ -199,26 +199,3 @@
 	// LoanMargin is how much longer the lender waits.
 	LoanMargin = 300 * time.Millisecond
 )
-
-// Timing is how long parts stay with a silent holder and settle with a new one.
-type Timing struct {
-	// Fence and Reclaim are FenceTime and ReclaimTime: how long a holder uses its
-	// part without a sign, and how long it has to be gone before others take it.
-	Fence   time.Duration
-	Reclaim time.Duration
-	// Settle is SettleTime, and Succession the same where a process follows
-	// another one at its address.
-	Settle     time.Duration
-	Succession time.Duration
-}
-
-// DefaultTiming is the timing for a list of members that is as late as ListLag
-// and as brief as ListDwell.
-func DefaultTiming() Timing {
-	return Timing{
-		Fence:      FenceTime,
-		Reclaim:    ReclaimTime,
-		Settle:     SettleTime,
-		Succession: SettleTime,
-	}
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,7 +158,7 @@
 		Self:   quota.Peer(in.holder),
 		Ledger: in.ledger,
 		Peers:  in.pool,
-		Keeper: in.keeper,
+		Lenders: in.keeper,
 		Limits: in.limits,
 		Log:    in.Log,
 	}
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -225,3 +225,15 @@
 		}
 	}
 }
+
+// currentTime is how recently a reader must have been heard.
+const currentTime = 1200 * time.Millisecond
+
+// Current reports whether the feed is up to date: a reader was heard lately, or
+// this instance reads and reaches the store.
+func (h *Hub) Current(now time.Time) bool {
+	h.mu.Lock()
+	heard := h.heard
+	h.mu.Unlock()
+	return now.Sub(heard) < currentTime || h.fresh(now)
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net/netip"
 	"sync"
 	"time"
 
-	"currantstile/allot"
 	"currantstile/clock"
 	"currantstile/conf"
-	"currantstile/feed"
 	"currantstile/gate"
-	"currantstile/member"
+	"currantstile/lead"
 	"currantstile/model"
 	"currantstile/quota"
 	"currantstile/share"
@@ -27,12 +23,8 @@
 	// askingPause is waited while another request of the same organisation asks
 	// other instances.
 	askingPause = 5 * time.Millisecond
-	// partFence is how long an instance uses its part of the limits without a
-	// sign of the store: longer than the outages that are planned for.
-	partFence = 14 * time.Second
-	// partReclaim is how long a part's holder has to be gone before the others
-	// take it: longer than it may go on using it.
-	partReclaim = 19 * time.Second
+	// rollKey is where the roll of instances that share the limits lies.
+	rollKey = lead.Prefix + "limits/roll"
 )
 
 // limits holds the organisations to their limits, by parts of them that the
@@ -40,62 +32,50 @@
 type limits struct {
 	node   *Node
 	ledger *quota.Ledger
-	keeper *share.Keeper
+	even   *share.Even
 	broker *share.Broker
+	// part is what was usable at the last look, for the log.
+	part int64
 }
 
 var _ gate.Limiter = (*limits)(nil)
 
 func newLimits(n *Node) *limits {
-	var nonce [4]byte
-	// crypto/rand.Read never returns an error: it ends the process instead.
-	_, _ = rand.Read(nonce[:])
-	holder := n.Settings.Name + "/" + hex.EncodeToString(nonce[:])
 	l := &limits{
 		node:   n,
 		ledger: quota.NewLedger(),
 	}
-	l.keeper = &share.Keeper{
-		Self: share.Part(holder, model.InstanceID(n.Settings.Name), n.Settings.Peers),
-		KV: &feed.Cached{
-			KV:       n.KV,
-			Follower: n.own,
-			Hub:      n.hub,
-		},
+	l.even = &share.Even{
+		Self:    n.Settings.Name,
+		KV:      n.KV,
+		Key:     rollKey,
 		Ledger:  l.ledger,
-		Members: l.members,
-		Version: l.tableVersion,
-		Timing: allot.Timing{
-			Fence:   partFence,
-			Reclaim: partReclaim,
-			Settle:  allot.SettleTime,
-			// A process that follows another one at its address begins with empty
-			// buckets, which makes up for the loans of the one before.
-			Succession: time.Millisecond,
-		},
-		Log: n.Log,
+		Alive:   l.alive,
+		Current: n.hub.Current,
+		Log:     n.Log,
 	}
 	l.broker = &share.Broker{
-		Self:   quota.Peer(holder),
-		Ledger: l.ledger,
-		Peers:  n.pool,
-		Keeper: l.keeper,
-		Limits: l.limitsOf,
-		Log:    n.Log,
+		Self:    quota.Peer(n.Settings.Name),
+		Ledger:  l.ledger,
+		Peers:   n.pool,
+		Lenders: l.even,
+		Limits:  l.limitsOf,
+		Log:     n.Log,
 	}
 	return l
 }
 
 // run keeps the part and the loans until ctx ends.
 func (l *limits) run(ctx context.Context) {
-	for !l.node.session.Registered() || l.node.config.Load() == nil {
+	for !l.node.session.Registered() || !l.node.own.Listed() {
 		if !clock.Sleep(ctx, askingPause) {
 			return
 		}
 	}
+	l.even.Listed()
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		l.keeper.Run(ctx)
+		l.even.Run(ctx)
 	})
 	wg.Go(func() {
 		l.broker.Run(ctx)
@@ -103,28 +83,24 @@
 	wg.Wait()
 }
 
-// members are the instances as the keeper looks at them.
-func (l *limits) members() *member.View {
-	v := &member.View{
-		Asked: l.node.health.LastReached(),
-	}
-	for _, i := range l.node.book.View().Instances() {
-		v.Entries = append(v.Entries, model.Member{
-			ID:    i.Name,
-			Role:  model.RoleEntry,
-			Zone:  model.ZoneID(i.Zone),
-			Addr:  i.Peers,
-			State: model.StateLive,
-		})
+// alive are the instances that are alive, by name.
+func (l *limits) alive() map[string]netip.AddrPort {
+	instances := l.node.book.View().Instances()
+	list := make(map[string]netip.AddrPort, len(instances))
+	for _, i := range instances {
+		list[i.Name] = i.Peers
 	}
-	return v
+	return list
 }
 
-// tableVersion asks an instance which version of the table of parts it has seen.
-func (l *limits) tableVersion(ctx context.Context, addr netip.AddrPort) (uint64, error) {
-	var reply wire.StatusReply
-	err := l.node.pool.Call(ctx, addr, wire.MethodStatus, wire.StatusArgs{}, &reply)
-	return reply.Table, err
+// look logs a change of this instance's part.
+func (l *limits) look(now time.Time) {
+	part := l.even.Usable(now)
+	if part == l.part {
+		return
+	}
+	l.node.Log.Info().Int64("part", part).Int64("before", l.part).Msg("limits: part of all limits changed, in millionths")
+	l.part = part
 }
 
 func (l *limits) limitsOf(org model.OrgID) (quota.Limits, bool) {
@@ -152,11 +128,7 @@
 	for _, o := range cfg.Organisations {
 		limited = limited || o.Rate > 0
 	}
-	if !limited || l.keeper.Usable(now) > 0 {
-		return true
-	}
-	t, _ := l.keeper.Table()
-	return len(t.Parts) > 1
+	return !limited || l.even.Usable(now) > 0 || len(l.even.Holders()) > 0
 }
 
 // Admit implements gate.Limiter.
@@ -174,6 +146,9 @@
 				if after < 0 {
 					after = time.Duration(cost) * time.Second / time.Duration(bounds.Rate)
 				}
+				l.node.Log.Info().Str("organisation", org.Name).Int64("tokens", cost).Int64("rate", bounds.Rate).Int64("burst", bounds.Burst).
+					Int64("part", l.even.Usable(now)).Dur("wait", d.Wait).Bool("asking", d.Asking).Dur("ask-in", d.AskIn).
+					Int64("want", d.Want.Weight).Msg("limits: refused")
 				return gate.Above{
 					After: max(after, askingPause),
 				}
@@ -233,12 +208,3 @@
 	*reply = s.limits.broker.Loans(args)
 	return nil
 }
-
-// Status answers wire.MethodStatus.
-func (s *LimitService) Status(_ wire.StatusArgs, reply *wire.StatusReply) error {
-	*reply = wire.StatusReply{
-		ID:    model.InstanceID(s.limits.node.Settings.Name),
-		Table: s.limits.keeper.Seen(),
-	}
-	return nil
-}
--- a/node/node.go
+++ b/node/node.go
@@ -195,7 +195,7 @@
 // buildFeeds follows the keys of the platform and those of the project.
 func (n *Node) buildFeeds() {
 	operators, targets := n.Sources.Prefixes()
-	n.own = n.follower(lead.Prefix, n.session.Apply)
+	n.own = n.follower(lead.Prefix, n.applyOwn)
 	seen := n.follower(targets, n.applyTargets)
 	seen.Same = n.Sources.Same
 	seen.Pause = targetsPause
@@ -306,6 +306,7 @@
 func (n *Node) house(ctx context.Context) {
 	for clock.Sleep(ctx, houseTime) {
 		n.dropGone(time.Now())
+		n.limits.look(time.Now())
 		n.figures.set(n)
 	}
 }
--- a/node/sources.go
+++ b/node/sources.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// applyOwn takes in what the instances have written.
+func (n *Node) applyOwn(now time.Time, changes []feed.Change) {
+	n.session.Apply(now, changes)
+	for _, c := range changes {
+		if c.Entry.Key == rollKey {
+			n.limits.even.Apply(now, c.Entry)
+		}
+	}
+}
+
 // applyTargets takes in what targets have written of themselves.
 func (n *Node) applyTargets(now time.Time, changes []feed.Change) {
 	for _, c := range changes {
--- a/share/broker.go
+++ b/share/broker.go
@@ -32,7 +32,8 @@
 	Self   quota.Peer
 	Ledger *quota.Ledger
 	Peers  *peer.Pool
-	Keeper *Keeper
+	// Lenders tells who holds parts.
+	Lenders Lenders
 	// Limits returns an organisation's limits by the configuration in force.
 	Limits func(model.OrgID) (quota.Limits, bool)
 	Log    log.Logger
@@ -45,16 +46,10 @@
 // silentTime is how long a holder that did not answer is not asked.
 const silentTime = time.Second
 
-// holders returns the other holders of parts by where they take calls.
-func (b *Broker) holders() map[quota.Peer]netip.AddrPort {
-	t, _ := b.Keeper.Table()
-	list := make(map[quota.Peer]netip.AddrPort, len(t.Parts))
-	for _, p := range t.Parts {
-		if quota.Peer(p.Holder) != b.Self {
-			list[quota.Peer(p.Holder)] = p.Addr
-		}
-	}
-	return list
+// Lenders tells who holds parts of the contracts.
+type Lenders interface {
+	// Holders returns the other holders of parts by where they take calls.
+	Holders() map[quota.Peer]netip.AddrPort
 }
 
 // Gather asks the other holders for what an organisation wants, all at once, and
@@ -63,7 +58,7 @@
 func (b *Broker) Gather(ctx context.Context, org model.OrgID, limits quota.Limits, want quota.Want) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
-	holders := b.holders()
+	holders := b.Lenders.Holders()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	gained := int64(0)
@@ -172,7 +167,7 @@
 	for _, d := range b.Ledger.Dues(now) {
 		byLender[d.Lender] = append(byLender[d.Lender], d)
 	}
-	holders := b.holders()
+	holders := b.Lenders.Holders()
 	for lender, dues := range byLender {
 		if addr, ok := holders[lender]; ok {
 			go b.sendLoans(ctx, lender, addr, dues)
--- a/share/keeper.go
+++ b/share/keeper.go
@@ -7,7 +7,7 @@
 //
 //	k := &share.Keeper{Self: part, KV: kv, Ledger: ledger, Members: members.View}
 //	go k.Run(ctx)
-//	b := &share.Broker{Self: holder, Ledger: ledger, Peers: pool, Keeper: k}
+//	b := &share.Broker{Self: holder, Ledger: ledger, Peers: pool, Lenders: k}
 //	go b.Run(ctx)
 //	b.Gather(ctx, org, limits, short.Want)
 //	// at a shutdown:
@@ -39,7 +39,7 @@
 
 const (
 	// tableKey is where the table lies in the store.
-	tableKey = "currantstile/quota/table"
+	tableKey = "quota/table"
 	// stepInterval is how often the part is looked at.
 	stepInterval = 500 * time.Millisecond
 	// readInterval is how often the table is read while all is quiet, and
@@ -68,9 +68,7 @@
 	Members func() *member.View
 	// Version asks another instance which version of the table it has seen last.
 	Version func(ctx context.Context, addr netip.AddrPort) (uint64, error)
-	// Timing is how long parts stay and settle; allot.DefaultTiming if zero.
-	Timing allot.Timing
-	Log    log.Logger
+	Log     log.Logger
 
 	// seen is the table as last read, for whoever must not wait for a step.
 	seen     atomic.Pointer[allot.Table]
@@ -129,6 +127,18 @@
 	return *t, true
 }
 
+// Holders implements Lenders.
+func (k *Keeper) Holders() map[quota.Peer]netip.AddrPort {
+	t, _ := k.Table()
+	list := make(map[quota.Peer]netip.AddrPort, len(t.Parts))
+	for _, p := range t.Parts {
+		if p.Holder != k.Self.Holder {
+			list[quota.Peer(p.Holder)] = p.Addr
+		}
+	}
+	return list
+}
+
 // Seen is the last version of the table that was seen, or zero.
 func (k *Keeper) Seen() uint64 {
 	t, _ := k.Table()
@@ -154,9 +164,8 @@
 	defer k.mu.Unlock()
 	if k.right == nil {
 		k.right = &allot.Right{
-			Self:   k.Self,
-			Whole:  quota.Whole,
-			Timing: k.Timing,
+			Self:  k.Self,
+			Whole: quota.Whole,
 		}
 	}
 	members := k.look(time.Now())
