--- a/entry/entry.go
+++ b/entry/entry.go
@@ -155,12 +155,12 @@
 		Log:     in.Log,
 	}
 	in.broker = &share.Broker{
-		Self:   quota.Peer(in.holder),
-		Ledger: in.ledger,
-		Peers:  in.pool,
+		Self:    quota.Peer(in.holder),
+		Ledger:  in.ledger,
+		Peers:   in.pool,
 		Lenders: in.keeper,
-		Limits: in.limits,
-		Log:    in.Log,
+		Limits:  in.limits,
+		Log:     in.Log,
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -53,6 +53,9 @@
 	// Pause is left between two watches, so that a series of changes costs one
 	// call and not one each; DefaultPause if zero.
 	Pause time.Duration
+	// Readers is how many instances watch the prefix at the same time; 1 if zero.
+	// What must not wait for a dead reader to be noticed has two.
+	Readers int
 	// Health is told of each call's success or failure; it may be nil.
 	Health *Health
 	Log    log.Logger
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -15,14 +15,16 @@
 
 const (
 	// pingTime is how often a reader shows that it is there.
-	pingTime = 400 * time.Millisecond
+	pingTime = 250 * time.Millisecond
 	// silentTime is how long nothing has to be heard of a reader until the next
-	// instance reads, and rankTime is added for each one before it.
-	silentTime = 1000 * time.Millisecond
-	rankTime   = 150 * time.Millisecond
+	// instance reads, and rankTime is added for each one before it. Together
+	// with freshTime they stay below the two seconds in which a change has to be
+	// in force.
+	silentTime = 600 * time.Millisecond
+	rankTime   = 100 * time.Millisecond
 	maxRank    = 8
 	// freshTime is how recently a reader must have reached the store.
-	freshTime = 1500 * time.Millisecond
+	freshTime = 700 * time.Millisecond
 	// roleTime is how often an instance that listens looks whether to read.
 	roleTime = 100 * time.Millisecond
 	// sendTimeout bounds one message to another instance.
@@ -93,7 +95,7 @@
 // follow reads one prefix while this instance is to read.
 func (h *Hub) follow(ctx context.Context, f *Follower) {
 	for ctx.Err() == nil {
-		if !h.mayRead(time.Now()) && !f.needsStore() {
+		if !h.mayRead(time.Now(), f.Readers) && !f.needsStore() {
 			clock.Sleep(ctx, roleTime)
 			continue
 		}
@@ -101,12 +103,16 @@
 	}
 }
 
-// mayRead reports whether this instance is the reader now.
-func (h *Hub) mayRead(now time.Time) bool {
+// mayRead reports whether this instance is one of so many readers now, or one at
+// least.
+func (h *Hub) mayRead(now time.Time, readers int) bool {
 	rank := h.rank()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wait := silentTime + time.Duration(min(rank, maxRank))*rankTime
+	if rank > 0 && rank < readers {
+		return true
+	}
 	reading := rank == 0 || now.Sub(h.heard) > wait
 	if reading != h.reading {
 		h.reading = reading
@@ -181,7 +187,7 @@
 
 // fresh reports whether this instance reads and has reached the store lately.
 func (h *Hub) fresh(now time.Time) bool {
-	return h.mayRead(now) && !h.Health.Away() && now.Sub(h.Health.LastReached()) < freshTime
+	return h.mayRead(now, 1) && !h.Health.Away() && now.Sub(h.Health.LastReached()) < freshTime
 }
 
 func (h *Hub) ping() Message {
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,8 @@
 	// be due to it.
 	storeWindow = 3 * time.Second
 	houseTime   = 250 * time.Millisecond
+	// operatorReaders watch what the operator writes, which is seldom.
+	operatorReaders = 2
 	// targetsPause gathers what targets write, which they do about once a second
 	// each; a leaving target is to get nothing after two seconds.
 	targetsPause = 300 * time.Millisecond
@@ -199,9 +201,11 @@
 	seen := n.follower(targets, n.applyTargets)
 	seen.Same = n.Sources.Same
 	seen.Pause = targetsPause
+	written := n.follower(operators, n.applyOperator)
+	written.Readers = operatorReaders
 	n.hub = &feed.Hub{
 		Self:      n.Settings.Name,
-		Followers: []*feed.Follower{n.follower(operators, n.applyOperator), seen, n.own},
+		Followers: []*feed.Follower{written, seen, n.own},
 		Peers:     n.fellows,
 		Send: func(ctx context.Context, to feed.Peer, m feed.Message) error {
 			return n.pool.Call(ctx, to.Addr, wire.MethodPush, m, &wire.Empty{})
--- a/tkit/layers_test.go
+++ b/tkit/layers_test.go
@@ -15,10 +15,11 @@
 // layers from the lowest to the highest. A package imports only packages of
 // lower layers, and of its own layer.
 var layers = [][]string{
-	{"model", "errs", "hist", "shard", "store", "memkv", "clock"},
-	{"spread", "member", "claim", "allot", "quota", "place", "route"},
-	{"wire"},
-	{"rest", "httpd", "plat", "peer", "engine", "mngr", "send", "share", "caller", "oper"},
+	{"model", "errs", "hist", "shard", "store", "memkv", "clock", "conf", "roster"},
+	{"spread", "member", "claim", "allot", "quota", "place", "route", "sched", "feed", "lead"},
+	{"wire", "call"},
+	{"rest", "httpd", "plat", "peer", "engine", "mngr", "send", "share", "caller", "oper", "upst", "mgmt", "gate"},
+	{"node", "platform"},
 	{"entry", "standn", "demo", "trial", "tkit", "cmd"},
 }
 
