--- a/gate/router.go
+++ b/gate/router.go
@@ -30,6 +30,9 @@
 	// nearChoices are asked first, and allChoices at most.
 	nearChoices = 4
 	allChoices  = 8
+	// fetchChoices are the targets to which an adapter that is wanted seldom is
+	// brought: the weight store is what all targets share.
+	fetchChoices = 2
 	// eagerShare of the objective is what the first choices may take, and
 	// promptShare what any may take that counts as prompt.
 	eagerShare  = 0.35
@@ -285,19 +288,24 @@
 			limit:   eager,
 		},
 	}
-	if x.demand*float64(len(r.Book.View().Instances())) < hotDemand {
+	fetchers := nearChoices
+	if x.Call.Adapter != "" && x.demand*float64(len(r.Book.View().Instances())) < hotDemand {
+		fetchers = fetchChoices
 		rounds = append(rounds, pass{
 			choices: nearChoices,
 			limit:   prompt,
 		})
 	}
 	return append(rounds, pass{
-		choices: allChoices,
+		choices: fetchers,
 		limit:   prompt,
 		fetch:   true,
 	}, pass{
 		choices: allChoices,
 		limit:   late,
+	}, pass{
+		choices: fetchers,
+		limit:   late,
 		fetch:   true,
 	})
 }
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -34,8 +34,8 @@
 	busyWait = 500 * time.Millisecond
 	// permitWait bounds how long a load waits for its turn.
 	permitWait = 2 * time.Second
-	// maxRounds bounds the decisions on one ask.
-	maxRounds = 6
+	// askTime bounds how long an ask is decided on.
+	askTime = 2400 * time.Millisecond
 	// tickTime is how often targets are taken over and given up.
 	tickTime = 200 * time.Millisecond
 	// orderTries is how often an order is sent again whose answer was lost.
@@ -134,6 +134,9 @@
 	synced   bool
 	accepted uint64
 	syncing  bool
+	// fetching are the adapters that wait for a turn, each with a channel that is
+	// closed when that has ended.
+	fetching map[string]chan struct{}
 	// ordering is held while an order is under way.
 	ordering sync.Mutex
 }
@@ -178,9 +181,10 @@
 	mt, ok := m.targets[t.ID]
 	if !ok || !mt.target.SameStart(&t) {
 		mt = &managed{
-			target:  t,
-			state:   sched.NewTarget(t.ID, limits),
-			changed: make(chan struct{}),
+			target:   t,
+			state:    sched.NewTarget(t.ID, limits),
+			changed:  make(chan struct{}),
+			fetching: make(map[string]chan struct{}),
 		}
 		mt.state.Loads = &m.loads
 		mt.state.Unsure = true
@@ -250,9 +254,11 @@
 	if mt == nil {
 		return wire.AskReply{}
 	}
-	for range maxRounds {
+	ask := args.Ask
+	until := time.Now().Add(askTime)
+	for time.Now().Before(until) {
 		mt.mu.Lock()
-		d := mt.state.Ask(time.Now(), args.Ask)
+		d := mt.state.Ask(time.Now(), ask)
 		changed := mt.changed
 		mt.mu.Unlock()
 		switch d := d.(type) {
@@ -273,6 +279,10 @@
 					Reason: sched.ReasonNoOrders,
 				}
 			}
+		case sched.Fetch:
+			if reply, ok := m.fetch(mt, ask); !ok {
+				return reply
+			}
 		case sched.Busy:
 			select {
 			case <-changed:
@@ -285,20 +295,70 @@
 	}
 }
 
-// load carries out a decision to load. It reports whether the adapter is on its
-// way.
-func (m *Manager) load(mt *managed, d sched.Load) bool {
-	if d.Fresh {
-		permit := m.loads.Enter()
+// fetch waits for a turn to fetch an adapter from the weight store, and has it
+// loaded. Asks for the same adapter share one turn. It reports false with the
+// answer where the adapter is not on its way.
+func (m *Manager) fetch(mt *managed, ask sched.Ask) (wire.AskReply, bool) {
+	mt.mu.Lock()
+	if done, ok := mt.fetching[ask.Adapter]; ok {
+		mt.mu.Unlock()
 		select {
-		case <-permit:
+		case <-done:
 		case <-time.After(permitWait):
-			m.loads.Leave(permit)
-			m.settle(mt, d, nil, nil)
-			return false
 		}
-		defer m.leaveAtEnd(mt, d.Adapter, permit)
+		return wire.AskReply{}, true
 	}
+	done := make(chan struct{})
+	mt.fetching[ask.Adapter] = done
+	mt.mu.Unlock()
+	defer func() {
+		mt.mu.Lock()
+		delete(mt.fetching, ask.Adapter)
+		mt.mu.Unlock()
+		close(done)
+	}()
+	turn := m.loads.Enter()
+	select {
+	case <-turn:
+	case <-time.After(permitWait):
+		m.loads.Leave(turn)
+		return wire.AskReply{
+			Reason: sched.ReasonAdapters,
+		}, false
+	}
+	defer m.leaveAtEnd(mt, ask.Adapter, turn)
+	ask.Turn = true
+	ask.Limit = ask.Left
+	mt.mu.Lock()
+	d := mt.state.Ask(time.Now(), ask)
+	mt.mu.Unlock()
+	switch d := d.(type) {
+	case sched.Load:
+		if !m.load(mt, d) {
+			return wire.AskReply{
+				Reason: sched.ReasonNoOrders,
+			}, false
+		}
+		return wire.AskReply{}, true
+	case sched.Granted:
+		return wire.AskReply{
+			Granted:  true,
+			After:    d.After,
+			Expected: d.Expected,
+		}, false
+	case sched.Declined:
+		return wire.AskReply{
+			Reason:   d.Reason,
+			Expected: d.Expected,
+		}, false
+	default:
+		return wire.AskReply{}, true
+	}
+}
+
+// load carries out a decision to load. It reports whether the adapter is on its
+// way.
+func (m *Manager) load(mt *managed, d sched.Load) bool {
 	mt.ordering.Lock()
 	defer mt.ordering.Unlock()
 	var unloaded, loaded Result
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -13,6 +13,7 @@
 //	switch d := t.Ask(now, ask).(type) {
 //	case sched.Granted: // send after d.After
 //	case sched.Load: // order d.Unload and d.Adapter, then t.Loaded or t.LoadFailed
+//	case sched.Fetch: // wait for a turn, then ask again with ask.Turn
 //	case sched.Busy: // an order for the same adapter is under way
 //	case sched.Declined: // try another target
 //	}
@@ -102,9 +103,11 @@
 	Left time.Duration
 	// NoFetch declines if the adapter would have to come from the weight store.
 	NoFetch bool
+	// Turn is set once the ask's turn to fetch from the weight store has come.
+	Turn bool
 }
 
-// Decision answers an Ask. It is one of Granted, Load, Busy and Declined.
+// Decision answers an Ask. It is one of Granted, Load, Fetch, Busy and Declined.
 type Decision interface {
 	decision()
 }
@@ -123,10 +126,12 @@
 	Adapter string
 	Version uint64
 	Unload  string
-	// Fresh is set if the adapter has to come from the weight store.
-	Fresh bool
 }
 
+// Fetch asks to wait for a turn to fetch the adapter from the weight store, and to
+// ask again with Turn set.
+type Fetch struct{}
+
 // Busy means that the adapter is being ordered; ask again when that has ended.
 type Busy struct{}
 
@@ -156,6 +161,7 @@
 
 func (Granted) decision()  {}
 func (Load) decision()     {}
+func (Fetch) decision()    {}
 func (Busy) decision()     {}
 func (Declined) decision() {}
 
@@ -404,7 +410,6 @@
 		return Load{
 			Adapter: a.Adapter,
 			Version: a.Version,
-			Fresh:   true,
 		}
 	}
 }
@@ -415,6 +420,9 @@
 			Reason: ReasonNoOrders,
 		}
 	}
+	if !a.Turn && !t.atHand(a.Adapter) {
+		return Fetch{}
+	}
 	inTransit := 0
 	for _, r := range t.residents {
 		if r.state == stateOrdering || now.Before(r.ready) {
@@ -429,7 +437,6 @@
 	load := Load{
 		Adapter: a.Adapter,
 		Version: a.Version,
-		Fresh:   !t.atHand(a.Adapter),
 	}
 	if len(t.residents) >= t.Limits.AdapterSlots {
 		victim := t.victim(now)
