--- a/conf/conf.go
+++ b/conf/conf.go
@@ -84,6 +84,9 @@
 	// included.
 	AdapterSlots int
 	Models       []Model
+	// LoadsPerSecond is how many base models may begin to come from the weight
+	// store in a second, over all targets; 0 is no bound.
+	LoadsPerSecond float64
 }
 
 // Service is a set of targets that answer the same requests.
--- a/gate/router.go
+++ b/gate/router.go
@@ -238,7 +238,7 @@
 	order := route.TopBy(key, targets, func(t **roster.Target) string {
 		return (*t).ID
 	}, allChoices, func(t **roster.Target) bool {
-		return x.Call.Model == "" || len((*t).Models) == 0 || (*t).Holds(x.Call.Model)
+		return x.Call.Model == "" || (*t).Holds(x.Call.Model)
 	})
 	version, _ := view.Version(x.Call.AdapterName())
 	reason := "no-manager"
@@ -328,6 +328,7 @@
 		Target: t.ID,
 		Ask: sched.Ask{
 			ID:      p.id,
+			Model:   x.Call.Model,
 			Adapter: x.Call.AdapterName(),
 			Version: version,
 			Prompt:  x.Call.PromptTokens,
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -98,6 +98,11 @@
 	Adapters map[string]uint64
 	Running  int
 	Waiting  int
+	// Models are the base models that the target holds, and AtHand those of which
+	// it has copies. Busy is set while a base model is being loaded.
+	Models []string
+	AtHand []string
+	Busy   bool
 }
 
 // Orders sends orders and reads reports.
@@ -112,6 +117,9 @@
 	Session *lead.Session
 	Book    *roster.Book
 	Orders  Orders
+	// Model returns the base model that a target which holds none should load, and
+	// how long this instance leaves between two loads from the weight store.
+	Model func(t roster.Target) (string, time.Duration)
 	// Limits returns what the targets of a service bear, or false for a service
 	// whose targets need no manager.
 	Limits func(service string) (sched.Limits, bool)
@@ -121,6 +129,9 @@
 	mu      sync.Mutex
 	targets map[string]*managed
 	loads   sched.Loads
+	// modelAt is when the last base model was ordered that had to come from the
+	// weight store.
+	modelAt time.Time
 }
 
 // managed is one target with what its orders need.
@@ -206,6 +217,9 @@
 // sync learns from a target's report what it holds and how many orders it has
 // accepted.
 func (m *Manager) sync(ctx context.Context, mt *managed) {
+	if m.target(mt.target.ID) != mt {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r, err := m.Orders.Report(ctx, mt.target)
@@ -220,12 +234,14 @@
 	mt.synced = true
 	mt.state.Unsure = false
 	mt.accepted = r.Accepted
+	mt.state.Models = r.Models
 	mt.state.Reported(now, r.Adapters)
+	m.needModel(mt, r)
 	if mt.state.Doubts() {
 		m.unsure(mt)
 	}
 	mt.wake()
-	m.Log.Info().Str("target", mt.target.ID).Uint64("accepted", r.Accepted).Int("adapters", len(r.Adapters)).
+	m.Log.Info().Str("target", mt.target.ID).Uint64("accepted", r.Accepted).Int("adapters", len(r.Adapters)).Strs("models", r.Models).
 		Int("running", r.Running).Int("waiting", r.Waiting).Msg("mgmt: target reported")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,7 @@
 		Session: n.session,
 		Book:    n.book,
 		Orders:  n.Orders,
+		Model:   n.modelFor,
 		Limits:  n.targetLimits,
 		Holder:  s.Name,
 		Log:     n.Log,
--- a/node/sources.go
+++ b/node/sources.go
@@ -186,3 +186,35 @@
 		ColdRate:     s.ColdRate,
 	}, true
 }
+
+// modelFor is the base model that a target which holds none should load: the one
+// that the fewest targets hold. The loads of all instances together stay below the
+// weight store's rate.
+func (n *Node) modelFor(t roster.Target) (string, time.Duration) {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return "", 0
+	}
+	s, ok := cfg.Service(t.Service)
+	if !ok || s.Engine == nil {
+		return "", 0
+	}
+	view := n.book.View()
+	best, fewest := "", 0
+	for _, m := range s.Engine.Models {
+		holders := 0
+		for _, other := range view.Service(t.Service) {
+			if other.Holds(m.Name) {
+				holders++
+			}
+		}
+		if best == "" || holders < fewest {
+			best, fewest = m.Name, holders
+		}
+	}
+	if s.Engine.LoadsPerSecond <= 0 {
+		return best, 0
+	}
+	instances := float64(max(len(view.Instances()), 1))
+	return best, time.Duration(instances / s.Engine.LoadsPerSecond * float64(time.Second))
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -90,6 +90,8 @@
 type Ask struct {
 	// ID names the grant.
 	ID string
+	// Model is the base model.
+	Model string
 	// Adapter is MODEL/NAME, or empty for the base model alone.
 	Adapter string
 	// Version is the newest declared version of the adapter; 0 if none is.
@@ -147,6 +149,7 @@
 	ReasonCold      Reason = "cold"
 	ReasonSuspected Reason = "suspected"
 	ReasonOutdated  Reason = "outdated-adapter-in-use"
+	ReasonModel     Reason = "base-model-not-there"
 	ReasonFetch     Reason = "adapter-not-at-hand"
 	ReasonNoOrders  Reason = "orders-not-allowed"
 )
@@ -242,6 +245,8 @@
 	// Unsure is set while it is not known what the target holds: then nothing is
 	// ordered.
 	Unsure bool
+	// Models are the base models that the target holds.
+	Models []string
 
 	residents map[string]*resident
 	// recent are the adapters held lately, the latest last.
@@ -346,6 +351,11 @@
 			Reason: ReasonSuspected,
 		}
 	}
+	if a.Model != "" && !slices.Contains(t.Models, a.Model) {
+		return Declined{
+			Reason: ReasonModel,
+		}
+	}
 	if len(t.grants) >= t.Limits.Slots {
 		return Declined{
 			Reason: ReasonFull,
