--- a/feed/hub.go
+++ b/feed/hub.go
@@ -44,7 +44,10 @@
 
 // Message is what a reader tells the other instances.
 type Message struct {
-	From  string
+	From string
+	// Calm is for how long the reader has known without a gap what the store
+	// holds.
+	Calm  time.Duration
 	Parts []Part
 }
 
@@ -68,6 +71,8 @@
 
 	mu    sync.Mutex
 	heard time.Time
+	// outage is when it was last not known what the store holds.
+	outage time.Time
 	// from is who read last, for the log.
 	from    string
 	reading bool
@@ -89,9 +94,33 @@
 	wg.Go(func() {
 		h.tell(ctx)
 	})
+	wg.Go(func() {
+		h.watchOutages(ctx)
+	})
 	wg.Wait()
 }
 
+// watchOutages notes when it is not known what the store holds.
+func (h *Hub) watchOutages(ctx context.Context) {
+	for clock.Sleep(ctx, roleTime) {
+		now := time.Now()
+		if h.Current(now) {
+			continue
+		}
+		h.mu.Lock()
+		h.outage = now
+		h.mu.Unlock()
+	}
+}
+
+// LastOutage is when it was last not known what the store holds, as far as the
+// instances together can tell.
+func (h *Hub) LastOutage() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.outage
+}
+
 // follow reads one prefix while this instance is to read.
 func (h *Hub) follow(ctx context.Context, f *Follower) {
 	for ctx.Err() == nil {
@@ -203,6 +232,7 @@
 }
 
 func (h *Hub) send(ctx context.Context, m Message) {
+	m.Calm = time.Since(h.LastOutage())
 	for _, p := range h.Peers() {
 		if p.Name == h.Self {
 			continue
@@ -222,6 +252,10 @@
 	h.mu.Lock()
 	h.heard = now
 	h.from = m.From
+	if calm := now.Add(-m.Calm); calm.Before(h.outage) {
+		// It was only this instance that the store, or everybody, did not reach.
+		h.outage = calm
+	}
 	h.mu.Unlock()
 	for _, p := range m.Parts {
 		for _, f := range h.Followers {
--- a/node/node.go
+++ b/node/node.go
@@ -93,9 +93,6 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
-	// outage is when it was last not known what the store holds, in nanoseconds.
-	outage atomic.Int64
-
 	goneMu sync.Mutex
 	// gone holds the targets whose entries vanished around an outage of the
 	// store, with when they count as gone.
@@ -313,9 +310,6 @@
 // house drops targets that did not come back.
 func (n *Node) house(ctx context.Context) {
 	for clock.Sleep(ctx, houseTime) {
-		if now := time.Now(); n.own.Listed() && !n.hub.Current(now) {
-			n.outage.Store(now.UnixNano())
-		}
 		n.dropGone(time.Now())
 		n.limits.look(time.Now())
 		n.figures.set(n)
--- a/node/sources.go
+++ b/node/sources.go
@@ -121,16 +121,10 @@
 	n.book.Publish()
 }
 
-// lastOutage is when it was last not known what the store holds. An instance that
-// the store turns away alone learns it from the others.
-func (n *Node) lastOutage() time.Time {
-	return time.Unix(0, n.outage.Load())
-}
-
 // vanished takes in that a target's entry is gone. Around an outage of the store
 // the entry may have lapsed though the target lives.
 func (n *Node) vanished(now time.Time, id string) {
-	if now.Sub(n.lastOutage()) < storeWindow {
+	if now.Sub(n.hub.LastOutage()) < storeWindow {
 		n.Log.Info().Str("target", id).Msg("node: target's entry lapsed around an outage of the store; waiting for it")
 		n.goneMu.Lock()
 		n.gone[id] = now.Add(goneTime)
