Prompts wait at the manager while others are read on the target

Cause: prompts that a worker reads together hold up the events of all streams that run there; drafts had their first event within 0.4 s and half of them were late all the same, by a pause. Now the notes of first tokens let the next one go.

--- a/gate/router.go
+++ b/gate/router.go
@@ -48,7 +48,7 @@
 	placeShare = 0.4
 	placePause = 60 * time.Millisecond
 	// noteTime is how long notes are gathered before they are sent.
-	noteTime    = 25 * time.Millisecond
+	noteTime    = 8 * time.Millisecond
 	noteTimeout = 500 * time.Millisecond
 	// forgetTime is how long what is known of an unseen target is kept.
 	forgetTime = 30 * time.Second
@@ -327,15 +327,16 @@
 	args := wire.AskArgs{
 		Target: t.ID,
 		Ask: sched.Ask{
-			ID:      p.id,
-			Model:   x.Call.Model,
-			Adapter: x.Call.AdapterName(),
-			Version: version,
-			Prompt:  x.Call.PromptTokens,
-			Output:  x.Call.OutputTokens,
-			Limit:   round.limit,
-			Left:    time.Until(x.Until),
-			NoFetch: !round.fetch,
+			ID:       p.id,
+			Model:    x.Call.Model,
+			Adapter:  x.Call.AdapterName(),
+			Version:  version,
+			Prompt:   x.Call.PromptTokens,
+			Output:   x.Call.OutputTokens,
+			Limit:    round.limit,
+			Left:     time.Until(x.Until),
+			Priority: x.Route.Priority,
+			NoFetch:  !round.fetch,
 		},
 	}
 	reply := r.call(ctx, view, p, args)
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -32,6 +32,8 @@
 	reportLag = 700 * time.Millisecond
 	// busyWait bounds how long an ask waits for an order of another ask.
 	busyWait = 500 * time.Millisecond
+	// readWait bounds how long an ask waits for news of prompts that are read.
+	readWait = 100 * time.Millisecond
 	// permitWait bounds how long a load waits for its turn.
 	permitWait = 2 * time.Second
 	// askTime bounds how long an ask is decided on.
@@ -299,6 +301,11 @@
 			if reply, ok := m.fetch(mt, ask); !ok {
 				return reply
 			}
+		case sched.Wait:
+			select {
+			case <-changed:
+			case <-time.After(readWait):
+			}
 		case sched.Busy:
 			select {
 			case <-changed:
@@ -522,6 +529,7 @@
 		if mt.synced && mt.state.Doubts() {
 			m.unsure(mt)
 		}
+		mt.wake()
 		mt.mu.Unlock()
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -37,6 +37,12 @@
 	recentLoad = 25 * time.Millisecond
 	// loadMargin is added to a load's expected end before a request is sent.
 	loadMargin = 12 * time.Millisecond
+	// maxUnread is how many prompt tokens may be on their way to a target or read
+	// there at once, but for a single longer prompt: what a target reads in a
+	// good part of the longest prompt pause between events.
+	maxUnread = 4500
+	// waitTime is how long an ask counts as waiting that does not ask again.
+	waitTime = 150 * time.Millisecond
 	// maxLoad is after how long an adapter that was ordered and is not there does
 	// not count as being loaded any more.
 	maxLoad = 3 * time.Second
@@ -103,13 +109,16 @@
 	Limit time.Duration
 	// Left is how long the caller still waits.
 	Left time.Duration
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	// NoFetch declines if the adapter would have to come from the weight store.
 	NoFetch bool
 	// Turn is set once the ask's turn to fetch from the weight store has come.
 	Turn bool
 }
 
-// Decision answers an Ask. It is one of Granted, Load, Fetch, Busy and Declined.
+// Decision answers an Ask. It is one of Granted, Load, Fetch, Wait, Busy
+// and Declined.
 type Decision interface {
 	decision()
 }
@@ -134,6 +143,10 @@
 // ask again with Turn set.
 type Fetch struct{}
 
+// Wait means that prompts which were granted before are still to be read; ask again
+// when something has been noted.
+type Wait struct{}
+
 // Busy means that the adapter is being ordered; ask again when that has ended.
 type Busy struct{}
 
@@ -165,6 +178,7 @@
 func (Granted) decision()  {}
 func (Load) decision()     {}
 func (Fetch) decision()    {}
+func (Wait) decision()     {}
 func (Busy) decision()     {}
 func (Declined) decision() {}
 
@@ -225,8 +239,16 @@
 	running int
 }
 
+// waiter is an ask that waits for prompts to be read.
+type waiter struct {
+	priority int
+	order    int
+	until    time.Time
+}
+
 // grant is a request that may run.
 type grant struct {
+	prompt   int64
 	adapter  string
 	tokens   int64
 	begun    time.Time
@@ -253,6 +275,9 @@
 	recent []string
 	grants map[string]*grant
 	tokens int64
+	// waiting are the asks that wait for prompts to be read.
+	waiting  map[string]*waiter
+	waitings int
 	// readEnd is when the prompts granted so far are expected to be read.
 	readEnd time.Time
 	pace    float64
@@ -277,6 +302,7 @@
 		Loads:     &Loads{},
 		residents: make(map[string]*resident),
 		grants:    make(map[string]*grant),
+		waiting:   make(map[string]*waiter),
 		pace:      1,
 	}
 }
@@ -386,6 +412,9 @@
 		}
 		r = t.residents[a.Adapter]
 	}
+	if t.mustWait(now, a) {
+		return Wait{}
+	}
 	if !t.takeCold(now) {
 		return Declined{
 			Reason: ReasonCold,
@@ -394,6 +423,52 @@
 	return t.grant(now, a, r, expected)
 }
 
+// mustWait reports whether prompts that were granted before have to be read first,
+// or a more urgent ask comes first. Prompts that are read together hold up the
+// events of all streams that run on the target for longer than is prompt.
+func (t *Target) mustWait(now time.Time, a Ask) bool {
+	unread := int64(0)
+	for _, g := range t.grants {
+		if !g.started {
+			unread += g.prompt
+		}
+	}
+	wait := unread > 0 && unread+a.Prompt > maxUnread
+	for id, w := range t.waiting {
+		switch {
+		case now.After(w.until):
+			delete(t.waiting, id)
+		case id == a.ID:
+		case w.before(t.waiting[a.ID], a.Priority):
+			wait = true
+		}
+	}
+	if !wait {
+		delete(t.waiting, a.ID)
+		return false
+	}
+	if w, ok := t.waiting[a.ID]; ok {
+		w.until = now.Add(waitTime)
+	} else {
+		t.waitings++
+		t.waiting[a.ID] = &waiter{
+			priority: a.Priority,
+			order:    t.waitings,
+			until:    now.Add(waitTime),
+		}
+	}
+	return true
+}
+
+// before reports whether a waiting ask comes before another one, which is nil if
+// it has just come.
+func (w *waiter) before(other *waiter, priority int) bool {
+	if other == nil {
+		return w.priority <= priority
+	}
+	return w.priority < priority || w.priority == priority && w.order < other.order
+}
+
 // adapter decides what has to be done before the adapter serves; nil is nothing.
 func (t *Target) adapter(now time.Time, a Ask, r *resident) Decision {
 	switch {
@@ -611,6 +686,7 @@
 	}
 	t.readEnd = now.Add(max(t.readEnd.Sub(now), after) + t.readTime(now, a.Prompt))
 	t.grants[a.ID] = &grant{
+		prompt:   a.Prompt,
 		adapter:  a.Adapter,
 		tokens:   a.Prompt + a.Output,
 		begun:    now,
