One target fetches an adapter, a second one only after a while; broken-off requests leave nothing behind

Cause 1: each further target that fetched a rare adapter cost the weight store's turn and price of a load.

--- a/gate/router.go
+++ b/gate/router.go
@@ -32,7 +32,10 @@
 	allChoices  = 8
 	// fetchChoices are the targets to which an adapter that is wanted seldom is
 	// brought: the weight store is what all targets share.
-	fetchChoices = 2
+	fetchChoices = 1
+	// widenRounds is after how many rounds of asking in vain one more target may
+	// fetch the adapter.
+	widenRounds = 12
 	// eagerShare of the objective is what the first choices may take, and
 	// promptShare what any may take that counts as prompt.
 	eagerShare  = 0.35
@@ -219,8 +222,8 @@
 func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
 	x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
 	patience := x.begun.Add(time.Duration(placeShare * float64(x.Until.Sub(x.begun))))
-	for {
-		p, reason := r.engineOnce(ctx, x, view, targets)
+	for round := 0; ; round++ {
+		p, reason := r.engineOnce(ctx, x, view, targets, fetchChoices+round/widenRounds)
 		if p != nil || !time.Now().Before(patience) || !sleep(ctx, placePause) {
 			return p, reason
 		}
@@ -230,7 +233,7 @@
 // engineOnce asks the managers of the request's targets in the order of its adapter,
 // at first with little patience, so that a request stays with the targets that
 // hold its adapter as long as they are quick.
-func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
+func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target, fetchers int) (*Place, string) {
 	key := x.Call.AdapterName()
 	if key == "" {
 		key = x.Call.ID
@@ -243,7 +246,7 @@
 	version, _ := view.Version(x.Call.AdapterName())
 	reason := "no-manager"
 	expected := make(map[string]time.Duration)
-	for _, pass := range r.passes(x, time.Now()) {
+	for _, pass := range r.passes(x, time.Now(), fetchers) {
 		for i, t := range order {
 			if e, known := expected[t.ID]; i >= pass.choices || known && (e == 0 || e > pass.limit) {
 				continue
@@ -273,11 +276,12 @@
 	fetch bool
 }
 
-// passes are the rounds of asking: first for a quick answer where the adapter is
+// passes are the rounds of asking, in which so many targets may fetch the adapter:
+// first for a quick answer where the adapter is
 // at hand, then for a prompt one, then for any. An adapter that is wanted often
 // is brought to further targets before those that hold it are busy; another one
 // only if no target that has it at hand is prompt.
-func (r *Router) passes(x *Exchange, now time.Time) []pass {
+func (r *Router) passes(x *Exchange, now time.Time, fetchers int) []pass {
 	objective := x.Route.Objective - now.Sub(x.begun)
 	eager := time.Duration(eagerShare * float64(objective))
 	prompt := time.Duration(promptShare * float64(objective))
@@ -288,9 +292,9 @@
 			limit:   eager,
 		},
 	}
-	fetchers := nearChoices
-	if x.Call.Adapter != "" && x.demand*float64(len(r.Book.View().Instances())) < hotDemand {
-		fetchers = fetchChoices
+	if x.Call.Adapter == "" || x.demand*float64(len(r.Book.View().Instances())) >= hotDemand {
+		fetchers = max(fetchers, nearChoices)
+	} else {
 		rounds = append(rounds, pass{
 			choices: nearChoices,
 			limit:   prompt,
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -40,7 +40,7 @@
 	// maxUnread is how many prompt tokens may be on their way to a target or read
 	// there at once, but for a single longer prompt: what a target reads in a
 	// good part of the longest prompt pause between events.
-	maxUnread = 4500
+	maxUnread = 6500
 	// waitTime is how long an ask counts as waiting that does not ask again.
 	waitTime = 150 * time.Millisecond
 	// maxLoad is after how long an adapter that was ordered and is not there does
--- a/upst/upst.go
+++ b/upst/upst.go
@@ -95,6 +95,16 @@
 	keep      time.Duration
 }
 
+// reset closes the connection at once, and drops what has not left yet: a request
+// that nobody waits for any more must not arrive later.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that is broken already has nothing left to drop.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Pool keeps idle connections to targets. The zero value is ready for use.
 type Pool struct {
 	// DialTimeout bounds the opening of a connection; DefaultDialTimeout if zero.
@@ -133,10 +143,7 @@
 			Err: err,
 		}
 	}
-	stop := context.AfterFunc(ctx, func() {
-		// Closing is what interrupts a blocked read; the error tells nothing.
-		_ = c.Close()
-	})
+	stop := context.AfterFunc(ctx, c.reset)
 	wrote := make(chan error, 1)
 	head := appendRequest(r)
 	if len(head) > inlineBytes {
