--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -259,13 +261,29 @@
 	return m.targets[id]
 }
 
-// Count is how many targets are managed and have reported.
+// Count is how many targets are managed.
 func (m *Manager) Count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.targets)
 }
 
+// Ready is how many managed targets have reported what they hold.
+func (m *Manager) Ready() int {
+	m.mu.Lock()
+	targets := slices.Collect(maps.Values(m.targets))
+	m.mu.Unlock()
+	n := 0
+	for _, mt := range targets {
+		mt.mu.Lock()
+		if mt.synced {
+			n++
+		}
+		mt.mu.Unlock()
+	}
+	return n
+}
+
 // Ask answers an entry's ask.
 func (m *Manager) Ask(args wire.AskArgs) wire.AskReply {
 	mt := m.target(args.Target)
--- a/node/node.go
+++ b/node/node.go
@@ -316,6 +316,11 @@
 	}
 }
 
+// Managed is how many targets this instance manages and knows the state of.
+func (n *Node) Managed() int {
+	return n.manager.Ready()
+}
+
 // Ready reports whether new requests should come, and why not.
 func (n *Node) Ready(now time.Time) (string, bool) {
 	cfg := n.config.Load()
