--- a/feed/feed.go
+++ b/feed/feed.go
@@ -65,6 +65,8 @@
 
 	mu    sync.Mutex
 	known map[string]store.Entry
+	// listed is set once the prefix was listed, until its history is lost.
+	listed bool
 	// revision is up to where the prefix is known, and material that of the last
 	// change that said something new.
 	revision store.Revision
@@ -73,11 +75,11 @@
 	behind bool
 }
 
-// Listed reports whether the prefix was read at least once.
+// Listed reports whether the prefix is known as a whole.
 func (f *Follower) Listed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision > 0
+	return f.listed
 }
 
 // Known returns a key as last seen.
@@ -107,7 +109,7 @@
 	case errors.Is(err, store.ErrCompacted):
 		f.Log.Info().Msgf("feed: history of %s is gone; listing again", f.Prefix)
 		f.mu.Lock()
-		f.revision = 0
+		f.listed = false
 		f.mu.Unlock()
 		return 0
 	default:
@@ -154,7 +156,7 @@
 		}
 	}
 	f.mu.Unlock()
-	f.take(entries, max(b.Revision, 1), true)
+	f.take(entries, b.Revision, true)
 	return nil
 }
 
@@ -167,6 +169,7 @@
 	fresh := f.apply(entries)
 	f.revision = max(f.revision, upTo)
 	f.behind = false
+	f.listed = f.listed || listed
 	if len(fresh) == 0 && !listed {
 		return
 	}
@@ -218,7 +221,7 @@
 func (f *Follower) receive(p Part) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision == 0 || p.Before > f.revision {
+	if !f.listed || p.Before > f.revision {
 		f.behind = true
 		return false
 	}
@@ -245,5 +248,5 @@
 func (f *Follower) needsStore() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision == 0 || f.behind
+	return !f.listed || f.behind
 }
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -224,7 +224,7 @@
 		From: h.Self,
 	}
 	for _, f := range h.Followers {
-		if p := f.mark(); p.UpTo > 0 {
+		if p := f.mark(); f.Listed() {
 			m.Parts = append(m.Parts, p)
 		}
 	}
--- /dev/null
+++ b/upst/upst_test.go
@@ -0,0 +1,212 @@
+package upst_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"currantstile/upst"
+)
+
+// server answers each connection with its own function.
+func server(t *testing.T, serve func(n int, c net.Conn, br *bufio.Reader)) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = ln.Close()
+	})
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(n, c, bufio.NewReader(c))
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func read(br *bufio.Reader) (*http.Request, error) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
+// answerAll answers every request of a connection in the same way.
+func answerAll(answer string) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := read(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	}
+}
+
+func exchange(p *upst.Pool, addr netip.AddrPort) (string, error) {
+	resp, err := p.Send(context.Background(), upst.Request{
+		Addr:   addr,
+		Method: http.MethodPost,
+		URI:    "/x",
+		Host:   "h",
+		Body:   []byte("body"),
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func TestConnectionsAreUsedAgainOnlyWithoutDoubt(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		opened int64
+	}{
+		{
+			name:   "clean",
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			opened: 1,
+		},
+		{
+			name:   "bytes after the answer",
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+			opened: 3,
+		},
+		{
+			name:   "the target wants to close",
+			answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+			opened: 3,
+		},
+		{
+			name:   "the target keeps it for less than the margin",
+			answer: "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok",
+			opened: 3,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &upst.Pool{}
+			addr := server(t, answerAll(tt.answer))
+			for range 3 {
+				body, err := exchange(p, addr)
+				require.NoError(t, err)
+				require.Equal(t, "ok", body)
+				time.Sleep(5 * time.Millisecond)
+			}
+			require.Equal(t, tt.opened, p.Opened())
+		})
+	}
+}
+
+// An answer that arrives late, when the connection is idle already, belongs to no
+// request.
+func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
+	p := &upst.Pool{}
+	addr := server(t, func(n int, c net.Conn, br *bufio.Reader) {
+		if _, err := read(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		if n == 1 {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		}
+	})
+	_, err := exchange(p, addr)
+	require.NoError(t, err)
+	time.Sleep(60 * time.Millisecond)
+	body, err := exchange(p, addr)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Equal(t, int64(2), p.Opened())
+}
+
+func TestWhatIsKnownOfAFailedSend(t *testing.T) {
+	p := &upst.Pool{}
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := netip.MustParseAddrPort(refused.Addr().String())
+	require.NoError(t, refused.Close())
+	var e *upst.SendError
+	_, err = exchange(p, nobody)
+	require.ErrorAs(t, err, &e)
+	require.False(t, e.Sent)
+	cut := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = read(br)
+		_ = c.Close()
+	})
+	_, err = exchange(p, cut)
+	require.ErrorAs(t, err, &e)
+	require.True(t, e.Sent)
+	noise := server(t, answerAll("\x00\x01not an answer\r\n\r\n"))
+	_, err = exchange(p, noise)
+	require.ErrorAs(t, err, &e)
+	require.True(t, e.Sent)
+}
+
+// A request that is given up is reset, so that the other side sees it end.
+func TestCancelResetsTheConnection(t *testing.T) {
+	p := &upst.Pool{}
+	ended := make(chan error, 1)
+	addr := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = read(br)
+		_, err := br.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Send(ctx, upst.Request{
+		Addr:   addr,
+		Method: http.MethodGet,
+		URI:    "/x",
+		Host:   "h",
+	})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	err = <-ended
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF), "a reset, not an orderly end")
+}
+
+// A target may answer before it has read a long body; the connection is not used
+// again while the body is on its way.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	p := &upst.Pool{}
+	addr := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = br.ReadString('\n')
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(200 * time.Millisecond)
+		_ = c.Close()
+	})
+	resp, err := p.Send(context.Background(), upst.Request{
+		Addr:   addr,
+		Method: http.MethodPost,
+		URI:    "/x",
+		Host:   "h",
+		Body:   make([]byte, 8<<20),
+	})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "no", string(b))
+	resp.Close()
+	_, err = exchange(p, addr)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), p.Opened())
+}
