--- a/cmd/currantstile/main.go
+++ b/cmd/currantstile/main.go
@@ -36,6 +36,11 @@
 
 // commands lists the commands in the order in which help shows them.
 func commands() []command {
+	return append(instanceCommands(), operatorCommands()...)
+}
+
+// instanceCommands are those that run an instance, or look at what one wrote.
+func instanceCommands() []command {
 	return []command{
 		{
 			name:  "serve",
@@ -49,6 +54,18 @@
 			usage: usageNode,
 			run:   runNode,
 		},
+		{
+			name:  "explain",
+			short: "tell a request's story from the logs of instances",
+			usage: usageExplain,
+			run:   runExplain,
+		},
+	}
+}
+
+// operatorCommands are those of operators and of experiments.
+func operatorCommands() []command {
+	return []command{
 		{
 			name:  "contract",
 			short: "list, show, apply and remove contracts",
--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -66,7 +67,10 @@
 	}
 	s, err := platform.ReadSettings(path)
 	if err != nil {
-		return asUsage("node", err)
+		return &usageError{
+			command: "node",
+			message: "settings file " + path + ":\n" + strings.ReplaceAll(err.Error(), "; ", "\n"),
+		}
 	}
 	logger := log.Logger{
 		Level: log.ParseLevel(level),
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -49,7 +49,7 @@
 	Apply func(now time.Time, changes []Change)
 	// Same reports whether a new value says nothing new; such a change is not
 	// applied. Nil takes every change for new.
-	Same func(old, new []byte) bool
+	Same func(before, after []byte) bool
 	// Pause is left between two watches, so that a series of changes costs one
 	// call and not one each; DefaultPause if zero.
 	Pause time.Duration
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -36,8 +36,8 @@
 		Prefix: "a/",
 		Apply:  func(time.Time, []Change) {},
 		Log:    quiet,
-		Same: func(old, new []byte) bool {
-			return old[0] == new[0]
+		Same: func(before, after []byte) bool {
+			return before[0] == after[0]
 		},
 	}
 	p.hub = &Hub{
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -86,11 +86,6 @@
 }
 
 const (
-	// headerSlop is what net/http allows beyond the bound on a header.
-	headerSlop = 4096
-	// maxHeaderBytes and headerTimeout hold before a configuration tells its
-	// own, and are the largest that one may set.
-	maxHeaderBytes = 64 << 10
 	// sweepTime is how often idle connections are looked at.
 	sweepTime = time.Second
 	// timeoutMargin is left of the time of a request for its answer to travel.
--- a/gate/router.go
+++ b/gate/router.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/call"
+	"currantstile/clock"
 	"currantstile/conf"
 	"currantstile/mgmt"
 	"currantstile/peer"
@@ -224,7 +225,7 @@
 	patience := x.begun.Add(time.Duration(placeShare * float64(x.Until.Sub(x.begun))))
 	for round := 0; ; round++ {
 		p, reason := r.engineOnce(ctx, x, view, targets, fetchChoices+round/widenRounds)
-		if p != nil || !time.Now().Before(patience) || !sleep(ctx, placePause) {
+		if p != nil || !time.Now().Before(patience) || !clock.Sleep(ctx, placePause) {
 			return p, reason
 		}
 	}
@@ -349,7 +350,7 @@
 	if !reply.Granted {
 		return nil, reply
 	}
-	if reply.After > 0 && !sleep(ctx, reply.After) {
+	if reply.After > 0 && !clock.Sleep(ctx, reply.After) {
 		p.end(time.Now(), endNotRun)
 		return nil, wire.AskReply{}
 	}
@@ -370,17 +371,6 @@
 	return ok && t.SameStart(&p.Target) && view.Usable(t) && version == p.Version
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // call asks the manager. A grant that comes after the asker has gone is given
 // back.
 func (r *Router) call(ctx context.Context, view *roster.View, p *Place, args wire.AskArgs) wire.AskReply {
@@ -492,7 +482,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, noteTime) {
+		if !clock.Sleep(ctx, noteTime) {
 			return
 		}
 		r.sendNotes(ctx)
--- a/node/settings.go
+++ b/node/settings.go
@@ -73,14 +73,29 @@
 	if s.Zone == "" {
 		errs.Add("zone", "is missing")
 	}
-	for name, a := range map[string]netip.AddrPort{
-		"callers":   s.Callers,
-		"readiness": s.Readiness,
-		"peers":     s.Peers,
-		"store":     s.Store,
+	for _, l := range []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{
+			name: "callers",
+			addr: s.Callers,
+		},
+		{
+			name: "readiness",
+			addr: s.Readiness,
+		},
+		{
+			name: "peers",
+			addr: s.Peers,
+		},
+		{
+			name: "store",
+			addr: s.Store,
+		},
 	} {
-		if !a.IsValid() {
-			errs.Add(name, "needs an IP address with a port")
+		if !l.addr.IsValid() {
+			errs.Add(l.name, "needs an IP address with a port")
 		}
 	}
 	return errs.Err()
--- a/node/sources.go
+++ b/node/sources.go
@@ -43,7 +43,7 @@
 	// Operator decodes a change by the operator.
 	Operator(now time.Time, c feed.Change) (OperatorChange, error)
 	// Same reports whether a target's new entry says nothing new.
-	Same(old, new []byte) bool
+	Same(before, after []byte) bool
 	// Target decodes a target's entry. For a deleted one only the ID is set.
 	Target(now time.Time, c feed.Change) (roster.Target, error)
 }
--- a/share/even.go
+++ b/share/even.go
@@ -30,9 +30,10 @@
 	// others learn of it and make theirs smaller.
 	entryTime = 2 * time.Second
 	// EvenFence is how long a holder uses its part without a sign of the roll:
-	// longer than the outages of the store that are planned for. EvenReclaim is
-	// how long an instance has to be gone before it is struck off.
-	EvenFence   = 14 * time.Second
+	// longer than the outages of the store that are planned for.
+	EvenFence = 14 * time.Second
+	// EvenReclaim is how long an instance has to be gone before it is struck off:
+	// longer than it may go on using its part.
 	EvenReclaim = 19 * time.Second
 )
 
@@ -199,27 +200,16 @@
 	if !e.known || alive[e.Self] == (netip.AddrPort{}) {
 		return roll{}, false
 	}
-	first := true
-	for name := range alive {
-		first = first && name >= e.Self
+	first := e.isFirst(alive)
+	if !e.mayWrite(now, first) {
+		return roll{}, false
 	}
-	listed := slices.Contains(e.roll.Instances, e.Self)
-	age := now.Sub(e.begun)
 	var next []string
 	for _, name := range e.roll.Instances {
 		if !e.lost(now, name, alive) || !first {
 			next = append(next, name)
 		}
 	}
-	switch {
-	case listed && len(next) < len(e.roll.Instances):
-	case listed && !first:
-		return roll{}, false
-	case !listed && !first && age < 2*joinTime:
-		return roll{}, false
-	case age < joinTime:
-		return roll{}, false
-	}
 	for name := range alive {
 		if !slices.Contains(next, name) {
 			next = append(next, name)
@@ -235,6 +225,26 @@
 	}, true
 }
 
+// isFirst reports whether this instance is the one that sees to the roll.
+func (e *Even) isFirst(alive map[string]netip.AddrPort) bool {
+	for name := range alive {
+		if name < e.Self {
+			return false
+		}
+	}
+	return true
+}
+
+// mayWrite reports whether this instance may change the roll now: the first one
+// may once it knows the others, another one only to put itself on it.
+func (e *Even) mayWrite(now time.Time, first bool) bool {
+	age := now.Sub(e.begun)
+	if first {
+		return age >= joinTime
+	}
+	return !slices.Contains(e.roll.Instances, e.Self) && age >= 2*joinTime
+}
+
 // lost reports whether an instance has been gone for so long that it does not use
 // its part any more. The caller holds mu.
 func (e *Even) lost(now time.Time, name string, alive map[string]netip.AddrPort) bool {
--- a/upst/upst_test.go
+++ b/upst/upst_test.go
@@ -164,7 +164,7 @@
 func TestCancelResetsTheConnection(t *testing.T) {
 	p := &upst.Pool{}
 	ended := make(chan error, 1)
-	addr := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+	addr := server(t, func(_ int, _ net.Conn, br *bufio.Reader) {
 		_, _ = read(br)
 		_, err := br.ReadByte()
 		ended <- err
