--- a/gate/router.go
+++ b/gate/router.go
@@ -28,29 +28,6 @@
 	// silentTime is how long the targets of a manager that did not answer are
 	// left out.
 	silentTime = 700 * time.Millisecond
-	// nearChoices are asked first, and allChoices at most.
-	nearChoices = 4
-	allChoices  = 8
-	// fetchChoices are the targets to which an adapter that is wanted seldom is
-	// brought: the weight store is what all targets share.
-	fetchChoices = 1
-	// widenRounds is after how many rounds of asking in vain one more target may
-	// fetch the adapter.
-	widenRounds = 12
-	// eagerShare of the objective is what the first choices may take, and
-	// promptShare what any may take that counts as prompt.
-	eagerShare  = 0.35
-	promptShare = 0.85
-	// hotDemand is how often a second an adapter is asked for, over all
-	// instances, from which on it is brought to a further target early.
-	hotDemand = 1.5
-	// lateShare of the time that is left is what a late answer may take to
-	// begin.
-	lateShare = 0.8
-	// placeShare of a request's time may pass until it has a place, and
-	// placePause is left between two rounds of asking.
-	placeShare = 0.4
-	placePause = 60 * time.Millisecond
 	// noteTime is how long notes are gathered before they are sent.
 	noteTime    = 8 * time.Millisecond
 	noteTimeout = 500 * time.Millisecond
@@ -222,10 +199,10 @@
 // again, up to a share of the request's time: places come free at any moment.
 func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
 	x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
-	patience := x.begun.Add(time.Duration(placeShare * float64(x.Until.Sub(x.begun))))
-	for round := 0; ; round++ {
-		p, reason := r.engineOnce(ctx, x, view, targets, fetchChoices+round/widenRounds)
-		if p != nil || !time.Now().Before(patience) || !clock.Sleep(ctx, placePause) {
+	patience := sched.Patience(x.begun, x.Until)
+	for turn := 0; ; turn++ {
+		p, reason := r.engineOnce(ctx, x, view, targets, turn)
+		if p != nil || !time.Now().Before(patience) || !clock.Sleep(ctx, sched.AskPause) {
 			return p, reason
 		}
 	}
@@ -234,28 +211,36 @@
 // engineOnce asks the managers of the request's targets in the order of its adapter,
 // at first with little patience, so that a request stays with the targets that
 // hold its adapter as long as they are quick.
-func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target, fetchers int) (*Place, string) {
+func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target, turn int) (*Place, string) {
 	key := x.Call.AdapterName()
 	if key == "" {
 		key = x.Call.ID
 	}
 	order := route.TopBy(key, targets, func(t **roster.Target) string {
 		return (*t).ID
-	}, allChoices, func(t **roster.Target) bool {
+	}, sched.MaxChoices, func(t **roster.Target) bool {
 		return x.Call.Model == "" || (*t).Holds(x.Call.Model)
 	})
 	version, _ := view.Version(x.Call.AdapterName())
 	reason := "no-manager"
 	expected := make(map[string]time.Duration)
-	for _, pass := range r.passes(x, time.Now(), fetchers) {
+	now := time.Now()
+	rounds := sched.Rounds(sched.Wish{
+		Adapter:   x.Call.Adapter != "",
+		Demand:    x.demand * float64(len(view.Instances())),
+		Objective: x.Route.Objective - now.Sub(x.begun),
+		Left:      x.Until.Sub(now),
+		Turn:      turn,
+	})
+	for _, round := range rounds {
 		for i, t := range order {
-			if e, known := expected[t.ID]; i >= pass.choices || known && (e == 0 || e > pass.limit) {
+			if e, known := expected[t.ID]; i >= round.Choices || known && (e == 0 || e > round.Limit) {
 				continue
 			}
 			if ctx.Err() != nil {
 				return nil, "timeout"
 			}
-			p, reply := r.ask(ctx, x, view, t, version, pass)
+			p, reply := r.ask(ctx, x, view, t, version, round)
 			if p != nil {
 				return p, ""
 			}
@@ -268,56 +253,9 @@
 	return nil, reason
 }
 
-// pass is one round of asking the targets of a request in their order.
-type pass struct {
-	choices int
-	// limit is the longest time to the first token.
-	limit time.Duration
-	// fetch allows to bring the adapter from the weight store.
-	fetch bool
-}
-
-// passes are the rounds of asking, in which so many targets may fetch the adapter:
-// first for a quick answer where the adapter is
-// at hand, then for a prompt one, then for any. An adapter that is wanted often
-// is brought to further targets before those that hold it are busy; another one
-// only if no target that has it at hand is prompt.
-func (r *Router) passes(x *Exchange, now time.Time, fetchers int) []pass {
-	objective := x.Route.Objective - now.Sub(x.begun)
-	eager := time.Duration(eagerShare * float64(objective))
-	prompt := time.Duration(promptShare * float64(objective))
-	late := time.Duration(lateShare * float64(x.Until.Sub(now)))
-	rounds := []pass{
-		{
-			choices: nearChoices,
-			limit:   eager,
-		},
-	}
-	if x.Call.Adapter == "" || x.demand*float64(len(r.Book.View().Instances())) >= hotDemand {
-		fetchers = max(fetchers, nearChoices)
-	} else {
-		rounds = append(rounds, pass{
-			choices: nearChoices,
-			limit:   prompt,
-		})
-	}
-	return append(rounds, pass{
-		choices: fetchers,
-		limit:   prompt,
-		fetch:   true,
-	}, pass{
-		choices: allChoices,
-		limit:   late,
-	}, pass{
-		choices: fetchers,
-		limit:   late,
-		fetch:   true,
-	})
-}
-
 // ask asks a target's manager, and holds the request back until the target is
 // ready for it.
-func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round pass) (*Place, wire.AskReply) {
+func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round sched.Round) (*Place, wire.AskReply) {
 	m, ok := view.Manager(t.ID)
 	if !ok || r.isSilent(time.Now(), m.Instance) {
 		return nil, wire.AskReply{}
@@ -338,10 +276,10 @@
 			Version:  version,
 			Prompt:   x.Call.PromptTokens,
 			Output:   x.Call.OutputTokens,
-			Limit:    round.limit,
+			Limit:    round.Limit,
 			Left:     time.Until(x.Until),
 			Priority: x.Route.Priority,
-			NoFetch:  !round.fetch,
+			NoFetch:  !round.Fetch,
 		},
 	}
 	reply := r.call(ctx, view, p, args)
--- /dev/null
+++ b/sched/rounds.go
@@ -0,0 +1,96 @@
+package sched
+
+import "time"
+
+const (
+	// nearChoices targets are asked first, and MaxChoices at most.
+	nearChoices = 4
+	// MaxChoices is how many targets may be asked for one request.
+	MaxChoices = 8
+	// fetchChoices are the targets to which an adapter that is wanted seldom is
+	// brought: the weight store is what all targets share.
+	fetchChoices = 1
+	// widenTurns is after how many turns of asking in vain one more target may
+	// fetch the adapter.
+	widenTurns = 12
+	// eagerShare of the objective is what the first choices may take, and
+	// promptShare what any may take that counts as prompt.
+	eagerShare  = 0.35
+	promptShare = 0.85
+	// lateShare of the time that is left is what a late answer may take to
+	// begin.
+	lateShare = 0.8
+	// hotDemand is how often a second an adapter is asked for, over all
+	// instances, from which on it is brought to further targets early.
+	hotDemand = 1.5
+	// placeShare of a request's time may pass until it has a place.
+	placeShare = 0.4
+	// AskPause is left between two turns of asking.
+	AskPause = 60 * time.Millisecond
+)
+
+// Wish is what a request wants of the targets that may serve it.
+type Wish struct {
+	// Adapter is set if the request needs one, and Demand is how often a second
+	// it is asked for over all instances.
+	Adapter bool
+	Demand  float64
+	// Objective is what is left of the time in which the first token counts as
+	// prompt, and Left how long the caller still waits.
+	Objective time.Duration
+	Left      time.Duration
+	// Turn is how often all rounds were asked in vain.
+	Turn int
+}
+
+// Round is one round of asking targets in the order of the request's adapter.
+type Round struct {
+	// Choices is how many targets are asked.
+	Choices int
+	// Limit is the longest time to the first token.
+	Limit time.Duration
+	// Fetch allows to bring the adapter from the weight store.
+	Fetch bool
+}
+
+// Rounds are the rounds of asking: first for a quick answer where the adapter is at
+// hand, then for a prompt one, then for any. An adapter that is wanted often is
+// brought to further targets before those that hold it are busy, another one only
+// to the first target of its order.
+func Rounds(w Wish) []Round {
+	eager := time.Duration(eagerShare * float64(w.Objective))
+	prompt := time.Duration(promptShare * float64(w.Objective))
+	late := time.Duration(lateShare * float64(w.Left))
+	rounds := []Round{
+		{
+			Choices: nearChoices,
+			Limit:   eager,
+		},
+	}
+	fetchers := fetchChoices + w.Turn/widenTurns
+	if !w.Adapter || w.Demand >= hotDemand {
+		fetchers = max(fetchers, nearChoices)
+	} else {
+		rounds = append(rounds, Round{
+			Choices: nearChoices,
+			Limit:   prompt,
+		})
+	}
+	return append(rounds, Round{
+		Choices: fetchers,
+		Limit:   prompt,
+		Fetch:   true,
+	}, Round{
+		Choices: MaxChoices,
+		Limit:   late,
+	}, Round{
+		Choices: fetchers,
+		Limit:   late,
+		Fetch:   true,
+	})
+}
+
+// Patience is until when a request is asked for again that no target takes.
+func Patience(begun, until time.Time) time.Time {
+	return begun.Add(time.Duration(placeShare * float64(until.Sub(begun))))
+}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -387,3 +387,40 @@
 	require.InDelta(t, 10, rate, 1)
 	require.Less(t, d.Add(start.Add(time.Hour), "hot"), 0.5)
 }
+
+// fetchers is how many targets may fetch an adapter.
+func fetchers(w sched.Wish) int {
+	most := 0
+	for _, r := range sched.Rounds(w) {
+		if r.Fetch {
+			most = max(most, r.Choices)
+		}
+	}
+	return most
+}
+
+// Each fetch of a rare adapter takes a turn from all others, so that one target
+// fetches it; a popular one is brought to several.
+func TestFewTargetsFetchARareAdapter(t *testing.T) {
+	w := sched.Wish{
+		Adapter:   true,
+		Demand:    0.1,
+		Objective: time.Second,
+		Left:      5 * time.Second,
+	}
+	require.Equal(t, 1, fetchers(w))
+	w.Turn = 11
+	require.Equal(t, 1, fetchers(w))
+	w.Turn = 12
+	require.Equal(t, 2, fetchers(w), "the first one may be gone")
+	w.Turn, w.Demand = 0, 5
+	require.Equal(t, 4, fetchers(w))
+	limit := time.Duration(0)
+	for _, r := range sched.Rounds(w) {
+		require.GreaterOrEqual(t, r.Limit, limit, "later rounds are content with less")
+		limit = r.Limit
+		require.Less(t, r.Limit, w.Left)
+	}
+	begun := start
+	require.True(t, sched.Patience(begun, begun.Add(5*time.Second)).Before(begun.Add(5*time.Second)))
+}
