--- a/entry/entry.go
+++ b/entry/entry.go
@@ -406,14 +406,10 @@
 	return in.follower.Alone(time.Now()) > in.Settings.AloneLimit
 }
 
-// CanAdmit reports whether the instance has a share of the contracts or knows
-// whom to borrow from.
+// CanAdmit reports whether the instance has a share of the contracts, or is one of
+// those that only borrow.
 func (in *Instance) CanAdmit() bool {
-	if in.Settings.Quota != QuotaLend || in.keeper.Usable(time.Now()) > 0 {
-		return true
-	}
-	t, _ := in.keeper.Table()
-	return len(t.Parts) > 1
+	return in.Settings.Quota != QuotaLend || in.keeper.CanAdmit(time.Now())
 }
 
 // Share is how much of every contract the instance may use now by itself, in
--- a/share/keeper.go
+++ b/share/keeper.go
@@ -157,6 +157,18 @@
 	return k.Ledger.Base(now)
 }
 
+// CanAdmit reports whether requests can be admitted: this instance may use a part,
+// or there are so many holders that it is not to have one and only borrows. A
+// holder whose part has not come yet would refuse the first requests.
+func (k *Keeper) CanAdmit(now time.Time) bool {
+	if k.Usable(now) > 0 {
+		return true
+	}
+	t, _ := k.Table()
+	_, joined := t.Find(k.Self.Holder)
+	return !joined && len(t.Parts) >= homeSize
+}
+
 // step looks at the list and, when it is time, at the table, and writes what has
 // to be written.
 func (k *Keeper) step(ctx context.Context) {
