--- a/gate/router.go
+++ b/gate/router.go
@@ -200,6 +200,8 @@
 func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
 	x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
 	patience := sched.Patience(x.begun, x.Until)
+	ctx, cancel := context.WithDeadline(ctx, sched.GiveUp(x.begun, x.Until))
+	defer cancel()
 	for turn := 0; ; turn++ {
 		p, reason := r.engineOnce(ctx, x, view, targets, turn)
 		if p != nil || !time.Now().Before(patience) || !clock.Sleep(ctx, sched.AskPause) {
--- a/sched/rounds.go
+++ b/sched/rounds.go
@@ -23,8 +23,10 @@
 	// hotDemand is how often a second an adapter is asked for, over all
 	// instances, from which on it is brought to further targets early.
 	hotDemand = 1.5
-	// placeShare of a request's time may pass until it has a place.
-	placeShare = 0.4
+	// placeShare of a request's time may pass until no target is asked any more,
+	// and giveUpShare until a question that is still open is given up.
+	placeShare  = 0.4
+	giveUpShare = 0.6
 	// AskPause is left between two turns of asking.
 	AskPause = 60 * time.Millisecond
 )
@@ -90,6 +92,12 @@
 	})
 }
 
+// GiveUp is when a request that has no place yet is refused, so that its caller has
+// time to come back.
+func GiveUp(begun, until time.Time) time.Time {
+	return begun.Add(time.Duration(giveUpShare * float64(until.Sub(begun))))
+}
+
 // Patience is until when a request is asked for again that no target takes.
 func Patience(begun, until time.Time) time.Time {
 	return begun.Add(time.Duration(placeShare * float64(until.Sub(begun))))
