--- a/feed/feed.go
+++ b/feed/feed.go
@@ -165,7 +165,7 @@
 func (f *Follower) take(entries store.Entries, upTo store.Revision, listed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.material
+	before, first := f.material, !f.listed
 	fresh := f.apply(entries)
 	f.revision = max(f.revision, upTo)
 	f.behind = false
@@ -173,8 +173,10 @@
 	if len(fresh) == 0 && !listed {
 		return
 	}
+	initial := first && before == 0
 	f.material = max(f.material, upTo)
-	if f.hub != nil && len(fresh) > 0 {
+	// A first listing is no change: the others have their own.
+	if f.hub != nil && len(fresh) > 0 && !initial {
 		f.hub.push(Part{
 			Prefix:  f.Prefix,
 			Before:  before,
--- a/lead/session.go
+++ b/lead/session.go
@@ -41,6 +41,8 @@
 
 	// tickTime is how often the session looks at itself.
 	tickTime = 200 * time.Millisecond
+	// retryTime is left after a call that the store did not carry out.
+	retryTime = 500 * time.Millisecond
 	// minRenewals is how often the lease is renewed within its time.
 	minRenewals = 3
 	// leaseMargin covers the flight of a renewal and the drift of clocks.
@@ -93,6 +95,8 @@
 	begun   time.Time
 	lease   store.LeaseID
 	renewed time.Time
+	// retryAt is when the store is asked again that did not carry a call out.
+	retryAt time.Time
 	asleep  time.Duration
 	// orderFrom is from when this instance may order each target that it
 	// manages.
@@ -132,8 +136,10 @@
 	s.noteFreeze(now)
 	s.mu.Lock()
 	lease, due := s.lease, now.Sub(s.renewed) >= s.LeaseTime/minRenewals
+	pausing := now.Before(s.retryAt)
 	s.mu.Unlock()
 	switch {
+	case pausing:
 	case lease == "":
 		s.open(ctx)
 	case due:
@@ -199,7 +205,11 @@
 }
 
 func (s *Session) missed(err error, what string) {
-	s.Health.Missed(time.Now())
+	now := time.Now()
+	s.Health.Missed(now)
+	s.mu.Lock()
+	s.retryAt = now.Add(retryTime)
+	s.mu.Unlock()
 	s.Log.Warn().Err(err).Msgf("lead: %s", what)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -168,6 +168,7 @@
 			Ratio:  s.RetryRatio,
 			Window: s.RetryWindow,
 			Slack:  s.RetrySlack,
+			Since:  n.started,
 		},
 		Log: n.Log,
 	}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout bounds the opening of a connection, one lost packet included.
+	dialTimeout = 2 * time.Second
 	// DefaultCallTimeout bounds a call whose context has no deadline.
 	DefaultCallTimeout = 2 * time.Second
 )
@@ -44,12 +45,22 @@
 	done  bool
 }
 
-// conn is the connection to one peer; dialling holds only its own lock.
+// conn is the connection to one peer.
 type conn struct {
 	mu     sync.Mutex
 	client *rpc.Client
 	// timeouts counts the calls that timed out since the last answer.
 	timeouts atomic.Int32
+	// dialling is set while the connection is being opened.
+	dialling *dialling
+}
+
+// dialling is a connection that is being opened; its fields are set once done is
+// closed.
+type dialling struct {
+	done   chan struct{}
+	client *rpc.Client
+	err    error
 }
 
 // maxTimeouts is how many calls may time out in a row before the connection
@@ -111,26 +122,49 @@
 	return c, nil
 }
 
+// get returns the connection, dialled if need be. The dialling goes on when ctx has
+// ended, for the calls that come next: many peers that start at once make each
+// other's connections slow.
 func (c *conn) get(ctx context.Context, addr netip.AddrPort, secret string) (*rpc.Client, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.client != nil {
+		defer c.mu.Unlock()
 		return c.client, nil
 	}
-	d := net.Dialer{
-		Timeout: dialTimeout,
+	d := c.dialling
+	if d == nil {
+		d = &dialling{
+			done: make(chan struct{}),
+		}
+		c.dialling = d
+		go c.dial(d, addr, secret)
 	}
-	nc, err := d.DialContext(ctx, "tcp", addr.String())
-	if err != nil {
-		return nil, err
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.client, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	if err := prove(nc, secret, roleCaller); err != nil {
-		// The connection is of no use; why is in err.
-		_ = nc.Close()
-		return nil, err
+}
+
+// dial opens the connection and tells those that wait for it.
+func (c *conn) dial(d *dialling, addr netip.AddrPort, secret string) {
+	nc, err := net.DialTimeout("tcp", addr.String(), dialTimeout)
+	if err == nil {
+		if err = prove(nc, secret, roleCaller); err != nil {
+			// The connection is of no use; why is in err.
+			_ = nc.Close()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialling = nil
+	if d.err = err; err == nil {
+		d.client = rpc.NewClient(nc)
+		c.client = d.client
 	}
-	c.client = rpc.NewClient(nc)
-	return c.client, nil
+	close(d.done)
 }
 
 // dropOnFailure forgets a connection that broke. An error that the peer itself
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -14,6 +14,9 @@
 	Ratio  float64
 	Window time.Duration
 	Slack  float64
+	// Since is when this process started. The one before it may have used its
+	// part of the allowance up, so that the part grows over the first window.
+	Since time.Time
 
 	mu       sync.Mutex
 	services map[string]*counts
@@ -73,7 +76,8 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	if repeats+1 > budgetShare*(b.Ratio*requests+b.Slack/float64(max(instances, 1))) {
+	grown := min(float64(now.Sub(b.Since))/float64(b.Window), 1)
+	if repeats+1 > budgetShare*(b.Ratio*requests+grown*b.Slack/float64(max(instances, 1))) {
 		return false
 	}
 	c.repeats[c.cell%budgetCells]++
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -324,6 +324,26 @@
 	require.Greater(t, total, 54)
 }
 
+// Processes that are started again and again get no new allowance each time.
+func TestBudgetOfARestartedProcess(t *testing.T) {
+	total := 0
+	for i := range 10 {
+		begun := start.Add(time.Duration(i) * time.Second)
+		b := &sched.Budget{
+			Ratio:  0.2,
+			Window: 10 * time.Second,
+			Slack:  70,
+			Since:  begun,
+		}
+		for range 100 {
+			if b.Repeat(begun.Add(time.Second), "s", 7) {
+				total++
+			}
+		}
+	}
+	require.LessOrEqual(t, total, 10)
+}
+
 func TestBalancer(t *testing.T) {
 	choices := []sched.Choice{
 		{
