--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -46,76 +46,6 @@
 	orderTries = 2
 )
 
-// Order is an order to a target.
-type Order struct {
-	Target  roster.Target
-	Load    bool
-	Adapter string
-	// Version is the version to load; 0 is the newest.
-	Version uint64
-	// Accepted is how many orders the target is to have accepted before.
-	Accepted uint64
-	Holder   string
-	Fence    uint64
-}
-
-// Result says what a target made of an order. It is one of Accepted, Conflict,
-// Fenced, Rejected and Unknown.
-type Result interface {
-	result()
-}
-
-// Accepted is an order that is being carried out, or already holds.
-type Accepted struct {
-	// Counted reports whether the order counts as one more accepted.
-	Counted bool
-	// Done reports whether it has been carried out.
-	Done bool
-}
-
-// Conflict is an order that came while another one was under way, or after
-// another number of orders than it expected.
-type Conflict struct{}
-
-// Fenced is an order whose fencing number is too low.
-type Fenced struct{}
-
-// Rejected is an order that the target cannot carry out.
-type Rejected struct {
-	Status int
-}
-
-// Unknown is an order that has no answer; it may be carried out yet.
-type Unknown struct{}
-
-func (Accepted) result() {}
-func (Conflict) result() {}
-func (Fenced) result()   {}
-func (Rejected) result() {}
-func (Unknown) result()  {}
-
-// Report is what a target says of itself.
-type Report struct {
-	Accepted uint64
-	// Adapters holds the version of each adapter, those on their way included,
-	// by MODEL/NAME.
-	Adapters map[string]uint64
-	Running  int
-	Waiting  int
-	// Models are the base models that the target holds, and AtHand those of which
-	// it has copies. Busy is set while a base model is being loaded.
-	Models []string
-	AtHand []string
-	Busy   bool
-}
-
-// Orders sends orders and reads reports.
-type Orders interface {
-	// Order sends an order once. An error means that it may have been accepted.
-	Order(ctx context.Context, o Order) (Result, error)
-	Report(ctx context.Context, t roster.Target) (Report, error)
-}
-
 // Manager manages targets. Its exported fields are set before Run.
 type Manager struct {
 	Session *lead.Session
@@ -159,13 +89,13 @@
 // Run takes targets over and gives them up until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.adopt(ctx, time.Now())
+		m.adopt(ctx)
 		clock.Sleep(ctx, tickTime)
 	}
 }
 
 // adopt makes the managed targets those that the session manages.
-func (m *Manager) adopt(ctx context.Context, now time.Time) {
+func (m *Manager) adopt(ctx context.Context) {
 	view := m.Book.View()
 	for _, id := range m.Session.Targets() {
 		t, ok := view.Target(id)
@@ -176,7 +106,7 @@
 		if !ok {
 			continue
 		}
-		m.keep(ctx, now, *t, limits)
+		m.keep(ctx, *t, limits)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -188,7 +118,7 @@
 	m.loads.SetTargets(len(m.targets))
 }
 
-func (m *Manager) keep(ctx context.Context, now time.Time, t roster.Target, limits sched.Limits) {
+func (m *Manager) keep(ctx context.Context, t roster.Target, limits sched.Limits) {
 	m.mu.Lock()
 	if m.targets == nil {
 		m.targets = make(map[string]*managed)
@@ -215,7 +145,6 @@
 	if need {
 		go m.sync(ctx, mt)
 	}
-	_ = now
 }
 
 // sync learns from a target's report what it holds and how many orders it has
@@ -336,203 +265,6 @@
 	}
 }
 
-// fetch waits for a turn to fetch an adapter from the weight store, and has it
-// loaded. Asks for the same adapter share one turn. It reports false with the
-// answer where the adapter is not on its way.
-func (m *Manager) fetch(mt *managed, ask sched.Ask) (wire.AskReply, bool) {
-	mt.mu.Lock()
-	if done, ok := mt.fetching[ask.Adapter]; ok {
-		mt.mu.Unlock()
-		select {
-		case <-done:
-		case <-time.After(permitWait):
-		}
-		return wire.AskReply{}, true
-	}
-	done := make(chan struct{})
-	mt.fetching[ask.Adapter] = done
-	mt.mu.Unlock()
-	defer func() {
-		mt.mu.Lock()
-		delete(mt.fetching, ask.Adapter)
-		mt.mu.Unlock()
-		close(done)
-	}()
-	turn := m.loads.Enter()
-	select {
-	case <-turn:
-	case <-time.After(permitWait):
-		m.loads.Leave(turn)
-		return wire.AskReply{
-			Reason: sched.ReasonAdapters,
-		}, false
-	}
-	defer m.leaveAtEnd(mt, ask.Adapter, turn)
-	ask.Turn = true
-	ask.Limit = ask.Left
-	mt.mu.Lock()
-	d := mt.state.Ask(time.Now(), ask)
-	mt.mu.Unlock()
-	switch d := d.(type) {
-	case sched.Load:
-		if !m.load(mt, d) {
-			return wire.AskReply{
-				Reason: sched.ReasonNoOrders,
-			}, false
-		}
-		return wire.AskReply{}, true
-	case sched.Granted:
-		return wire.AskReply{
-			Granted:  true,
-			After:    d.After,
-			Expected: d.Expected,
-		}, false
-	case sched.Declined:
-		return wire.AskReply{
-			Reason:   d.Reason,
-			Expected: d.Expected,
-		}, false
-	default:
-		return wire.AskReply{}, true
-	}
-}
-
-// load carries out a decision to load. It reports whether the adapter is on its
-// way.
-func (m *Manager) load(mt *managed, d sched.Load) bool {
-	mt.ordering.Lock()
-	defer mt.ordering.Unlock()
-	var unloaded, loaded Result
-	mt.mu.Lock()
-	room := mt.state.Room(d.Unload)
-	mt.mu.Unlock()
-	if !room {
-		return m.settle(mt, d, nil, nil)
-	}
-	unloaded = Accepted{
-		Done: true,
-	}
-	if d.Unload != "" {
-		unloaded = m.order(mt, Order{
-			Adapter: d.Unload,
-		})
-	}
-	if a, ok := unloaded.(Accepted); ok && a.Done {
-		loaded = m.order(mt, Order{
-			Load:    true,
-			Adapter: d.Adapter,
-			Version: d.Version,
-		})
-	}
-	return m.settle(mt, d, unloaded, loaded)
-}
-
-// settle takes in the results of the two orders of a load; nil is an order that
-// was not sent. It reports whether the adapter is on its way.
-func (m *Manager) settle(mt *managed, d sched.Load, unloaded, loaded Result) bool {
-	now := time.Now()
-	mt.mu.Lock()
-	defer mt.mu.Unlock()
-	defer mt.wake()
-	switch r := unloaded.(type) {
-	case Accepted:
-		if r.Done {
-			mt.state.Unloaded(d.Unload)
-		} else {
-			// Requests that this manager does not know of still use it.
-			mt.state.Doubt(now, d.Unload)
-			m.unsure(mt)
-		}
-	case Unknown:
-		mt.state.Doubt(now, d.Unload)
-	default:
-		mt.state.Kept(d.Unload)
-	}
-	switch loaded.(type) {
-	case Accepted:
-		mt.state.Loaded(now, d.Adapter, d.Version)
-		return true
-	case Unknown:
-		mt.state.Doubt(now, d.Adapter)
-	default:
-		mt.state.LoadFailed(d.Adapter)
-	}
-	return false
-}
-
-// leaveAtEnd gives a permit back when the load is expected to have ended.
-func (m *Manager) leaveAtEnd(mt *managed, adapter string, permit <-chan struct{}) {
-	now := time.Now()
-	mt.mu.Lock()
-	ready, ok := mt.state.Ready(adapter)
-	mt.mu.Unlock()
-	if !ok || !now.Before(ready) {
-		m.loads.Leave(permit)
-		return
-	}
-	time.AfterFunc(ready.Sub(now), func() {
-		m.loads.Leave(permit)
-	})
-}
-
-// order sends an order, again if its answer is lost: a target accepts an order
-// only after the number of orders that it names, so that at most one of them is
-// carried out, however late the first one arrives. It returns nil if nothing was
-// sent.
-func (m *Manager) order(mt *managed, o Order) Result {
-	var result Result
-	for range orderTries {
-		mt.mu.Lock()
-		o.Target, o.Accepted = mt.target, mt.accepted
-		synced := mt.synced
-		mt.mu.Unlock()
-		fence, ok := m.Session.MayOrder(time.Now(), o.Target.ID)
-		if !ok || !synced {
-			return result
-		}
-		o.Fence, o.Holder = fence, m.Holder
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		var err error
-		result, err = m.Orders.Order(ctx, o)
-		cancel()
-		if err != nil {
-			result = Unknown{}
-		}
-		m.Log.Info().Err(err).Str("target", o.Target.ID).Bool("load", o.Load).Str("adapter", o.Adapter).
-			Uint64("version", o.Version).Uint64("fence", fence).Uint64("accepted", o.Accepted).Msgf("mgmt: order ends as %T", result)
-		if err == nil {
-			break
-		}
-	}
-	mt.mu.Lock()
-	defer mt.mu.Unlock()
-	switch r := result.(type) {
-	case Accepted:
-		if r.Counted {
-			mt.accepted++
-		}
-	case Fenced:
-		m.Session.Refused(o.Target.ID, o.Fence)
-	default:
-		m.unsure(mt)
-	}
-	return result
-}
-
-// unsure has the target's report read again once it covers the last order. The
-// caller holds mu.
-func (m *Manager) unsure(mt *managed) {
-	mt.synced = false
-	mt.state.Unsure = true
-	if mt.syncing {
-		return
-	}
-	mt.syncing = true
-	time.AfterFunc(reportLag, func() {
-		m.sync(context.Background(), mt)
-	})
-}
-
 // Notes takes in what happened to granted requests.
 func (m *Manager) Notes(args wire.NotesArgs) {
 	for _, tn := range args.Targets {
--- /dev/null
+++ b/sched/ask.go
@@ -0,0 +1,134 @@
+package sched
+
+import "time"
+
+// Limits is what a target bears.
+type Limits struct {
+	// Slots is how many requests run at once, MemoryTokens their memory, and
+	// AdapterSlots how many adapters there is room for.
+	Slots        int
+	MemoryTokens int64
+	AdapterSlots int
+	// ColdRate is how many requests a second a cold target bears; 0 is no bound.
+	ColdRate float64
+}
+
+// Ask is a request for the right to run on a target.
+type Ask struct {
+	// ID names the grant.
+	ID string
+	// Model is the base model.
+	Model string
+	// Adapter is MODEL/NAME, or empty for the base model alone.
+	Adapter string
+	// Version is the newest declared version of the adapter; 0 if none is.
+	Version uint64
+	Prompt  int64
+	Output  int64
+	// Limit is the longest time to the first token with which the asker is
+	// content here.
+	Limit time.Duration
+	// Left is how long the caller still waits.
+	Left time.Duration
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
+	// NoFetch declines if the adapter would have to come from the weight store.
+	NoFetch bool
+	// Turn is set once the ask's turn to fetch from the weight store has come.
+	Turn bool
+}
+
+// Decision answers an Ask. It is one of Granted, Load, Fetch, Wait, Busy
+// and Declined.
+type Decision interface {
+	decision()
+}
+
+// Granted allows to send the request.
+type Granted struct {
+	// After is how long the request is to be held back, until its adapter is in
+	// place.
+	After time.Duration
+	// Expected is the time to the first token.
+	Expected time.Duration
+}
+
+// Load asks for orders: Unload first if it is set, then Adapter.
+type Load struct {
+	Adapter string
+	Version uint64
+	Unload  string
+}
+
+// Fetch asks to wait for a turn to fetch the adapter from the weight store, and to
+// ask again with Turn set.
+type Fetch struct{}
+
+// Wait means that prompts which were granted before are still to be read; ask again
+// when something has been noted.
+type Wait struct{}
+
+// Busy means that the adapter is being ordered; ask again when that has ended.
+type Busy struct{}
+
+// Reason says why a target declines.
+type Reason string
+
+// The reasons.
+const (
+	ReasonSlow      Reason = "too-slow"
+	ReasonFull      Reason = "full"
+	ReasonMemory    Reason = "no-memory"
+	ReasonAdapters  Reason = "no-adapter-slot"
+	ReasonCold      Reason = "cold"
+	ReasonSuspected Reason = "suspected"
+	ReasonOutdated  Reason = "outdated-adapter-in-use"
+	ReasonModel     Reason = "base-model-not-there"
+	ReasonFetch     Reason = "adapter-not-at-hand"
+	ReasonNoOrders  Reason = "orders-not-allowed"
+)
+
+// Declined means that the request should go elsewhere.
+type Declined struct {
+	Reason Reason
+	// Expected is the time to the first token here, or 0 where none can be
+	// promised.
+	Expected time.Duration
+}
+
+func (Granted) decision()  {}
+func (Load) decision()     {}
+func (Fetch) decision()    {}
+func (Wait) decision()     {}
+func (Busy) decision()     {}
+func (Declined) decision() {}
+
+// NoteKind is what happened to a granted request.
+type NoteKind int
+
+// The kinds of notes.
+const (
+	// NoteFirst is the first token.
+	NoteFirst NoteKind = iota + 1
+	// NoteEnd is the end of the run, whole or not.
+	NoteEnd
+	// NoteNotRun is a refusal by the target, which ran nothing.
+	NoteNotRun
+	// NoteMisdirected is a target that does not hold the adapter version.
+	NoteMisdirected
+	// NoteUnreachable is a target that could not be reached, or broke off.
+	NoteUnreachable
+	// NoteFailed is a run that failed at the target.
+	NoteFailed
+	// NoteLeft is a run that was given up because its caller left or its time
+	// was over.
+	NoteLeft
+)
+
+// Note tells what happened to a granted request.
+type Note struct {
+	ID   string
+	Kind NoteKind
+	// Elapsed is the time since the request was sent.
+	Elapsed time.Duration
+}
