--- /dev/null
+++ b/conf/conf_test.go
@@ -0,0 +1,118 @@
+package conf_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/conf"
+)
+
+func document() conf.Document {
+	return conf.Document{
+		Version: 4,
+		Routes: []conf.Route{
+			{
+				Name:   "all",
+				Host:   "a.example",
+				Prefix: "/",
+				Kind:   conf.KindSafe,
+				Shares: []conf.Share{
+					{
+						Service: "app",
+						Weight:  1,
+					},
+				},
+			},
+			{
+				Name:   "notes",
+				Host:   "a.example",
+				Prefix: "/notes/",
+				Kind:   conf.KindStream,
+			},
+			{
+				Name:   "old-notes",
+				Host:   "a.example",
+				Prefix: "/notes/old/",
+				Kind:   conf.KindUnsafe,
+			},
+		},
+		Services: []conf.Service{
+			{
+				Name: "app",
+			},
+		},
+		Organisations: []conf.Organisation{
+			{
+				Name:        "org",
+				Keys:        []string{"k1", "k2"},
+				ByTokens:    true,
+				PlainTokens: 200,
+			},
+		},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	c, err := conf.New(document())
+	require.NoError(t, err)
+	tests := []struct {
+		host string
+		path string
+		want string
+	}{
+		{
+			host: "a.example",
+			path: "/notes/1",
+			want: "notes",
+		},
+		{
+			host: "a.example",
+			path: "/notes/old/1",
+			want: "old-notes",
+		},
+		{
+			host: "a.example",
+			path: "/notes",
+			want: "all",
+		},
+		{
+			host: "b.example",
+			path: "/notes/1",
+		},
+	}
+	for _, tt := range tests {
+		r, ok := c.Route(tt.host, tt.path)
+		require.Equal(t, tt.want != "", ok, tt.path)
+		if ok {
+			require.Equal(t, tt.want, r.Name)
+		}
+	}
+}
+
+func TestOrganisation(t *testing.T) {
+	c, err := conf.New(document())
+	require.NoError(t, err)
+	o, ok := c.OrganisationOf("k2")
+	require.True(t, ok)
+	require.Equal(t, int64(200), o.Cost(0))
+	require.Equal(t, int64(70), o.Cost(70))
+	_, ok = c.OrganisationOf("")
+	require.False(t, ok)
+	require.Equal(t, int64(1), (&conf.Organisation{}).Cost(70))
+}
+
+func TestNewNamesEveryFault(t *testing.T) {
+	d := document()
+	d.Routes[0].Kind = "sometimes"
+	d.Routes[1].Prefix = "notes"
+	d.Routes[2].Shares = []conf.Share{
+		{
+			Service: "nobody",
+		},
+	}
+	_, err := conf.New(d)
+	require.ErrorContains(t, err, "routes.all: kind")
+	require.ErrorContains(t, err, "routes.notes: prefix")
+	require.ErrorContains(t, err, "routes.old-notes: service")
+}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -43,23 +43,23 @@
 	events eventReader
 }
 
-// hop is the end of one sending.
-type hop int
+// sendResult says how one sending ended.
+type sendResult int
 
 const (
-	// hopDone means that the caller has its answer, or is gone.
-	hopDone hop = iota
-	// hopNotRun means that the target ran nothing.
-	hopNotRun
-	// hopLoading means that the target ran nothing because the adapter that it
+	// sentDone means that the caller has its answer, or is gone.
+	sentDone sendResult = iota
+	// sentNotRun means that the target ran nothing.
+	sentNotRun
+	// sentLoading means that the target ran nothing because the adapter that it
 	// was ordered to load is not there yet.
-	hopLoading
-	// hopUnknown means that the target may have run the request.
-	hopUnknown
-	// hopFailed means that the target ran the request and says that it failed.
-	hopFailed
-	// hopCut means that a stream broke off after its head was passed on.
-	hopCut
+	sentLoading
+	// sentUnknown means that the target may have run the request.
+	sentUnknown
+	// sentFailed means that the target ran the request and says that it failed.
+	sentFailed
+	// sentCut means that a stream broke off after its head was passed on.
+	sentCut
 )
 
 // held is an answer that was read whole and not passed on yet.
@@ -87,21 +87,21 @@
 			return
 		}
 		end, answer := x.send(ctx, place)
-		if end == hopLoading && loading < maxLoading {
+		if end == sentLoading && loading < maxLoading {
 			// The adapter is late; the target is asked again when it should be
 			// there.
 			loading++
-			end = hopNotRun
+			end = sentNotRun
 		} else {
 			tried[place.Target.ID] = true
 		}
 		if answer != nil {
 			last = answer
 		}
-		if end == hopDone {
+		if end == sentDone {
 			return
 		}
-		if end != hopNotRun && end != hopLoading {
+		if end != sentNotRun && end != sentLoading {
 			x.ran = true
 			targets++
 		}
@@ -113,13 +113,13 @@
 }
 
 // again reports whether the request may be sent once more.
-func (x *Exchange) again(ctx context.Context, end hop, targets int) bool {
+func (x *Exchange) again(ctx context.Context, end sendResult, targets int) bool {
 	if ctx.Err() != nil || targets >= max(x.Route.MaxTargets, 1) {
 		return false
 	}
 	switch end {
-	case hopNotRun, hopLoading:
-	case hopCut:
+	case sentNotRun, sentLoading:
+	case sentCut:
 		if !x.Route.Resumable {
 			return false
 		}
@@ -217,7 +217,7 @@
 }
 
 // send sends the request to one target and passes its answer on.
-func (x *Exchange) send(ctx context.Context, p *Place) (hop, *held) {
+func (x *Exchange) send(ctx context.Context, p *Place) (sendResult, *held) {
 	x.Target = p.Target.ID
 	x.Sent++
 	sent := time.Now()
@@ -252,20 +252,20 @@
 		x.gate.Log.Warn().Str("request", x.Call.ID).Str("got", a.ID).Str("target", x.Target).Msg("gate: answer belongs to another request")
 		resp.Response.Close = true
 		p.end(sent, endFailed)
-		return hopUnknown, nil
+		return sentUnknown, nil
 	case a.Misdirected || resp.StatusCode == http.StatusMisdirectedRequest:
 		x.notRun(p, resp.StatusCode)
 		x.drain(resp)
 		p.end(sent, endMisdirected)
 		if p.held > 0 {
-			return hopLoading, nil
+			return sentLoading, nil
 		}
-		return hopNotRun, nil
+		return sentNotRun, nil
 	case a.NotRun:
 		x.notRun(p, resp.StatusCode)
 		x.drain(resp)
 		p.end(sent, endNotRun)
-		return hopNotRun, nil
+		return sentNotRun, nil
 	case resp.StatusCode >= 200 && resp.StatusCode < 300 && x.Route.Kind == conf.KindStream && a.Signed:
 		return x.stream(ctx, p, sent, resp), nil
 	default:
@@ -280,7 +280,7 @@
 }
 
 // sendFailed sorts a request that brought no answer.
-func (x *Exchange) sendFailed(ctx context.Context, p *Place, sent time.Time, err error) hop {
+func (x *Exchange) sendFailed(ctx context.Context, p *Place, sent time.Time, err error) sendResult {
 	var e *upst.SendError
 	wasSent := !errors.As(err, &e) || e.Sent
 	x.gate.Log.Info().Str("request", x.Call.ID).Str("target", x.Target).Bool("sent", wasSent).Err(err).Msg("gate: no answer")
@@ -290,9 +290,9 @@
 		p.end(sent, endUnreachable)
 	}
 	if wasSent {
-		return hopUnknown
+		return sentUnknown
 	}
-	return hopNotRun
+	return sentNotRun
 }
 
 // freshIdle is the longest time for which a connection may have been idle that
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -62,7 +62,9 @@
 
 // Limiter holds organisations to their limits.
 type Limiter interface {
-	Admit(ctx context.Context, now time.Time, org *conf.Organisation, cost int64) Verdict
+	// Admit takes the cost of the request of that ID from its organisation's
+	// limit.
+	Admit(ctx context.Context, now time.Time, id string, org *conf.Organisation, cost int64) Verdict
 }
 
 // Gate is the callers' interface. Its exported fields are set before Start.
@@ -272,7 +274,7 @@
 		return nil
 	}
 	cost := x.Org.Cost(x.Call.Tokens())
-	switch v := g.Limiter.Admit(ctx, time.Now(), x.Org, cost).(type) {
+	switch v := g.Limiter.Admit(ctx, time.Now(), x.Call.ID, x.Org, cost).(type) {
 	case Above:
 		return &Refusal{
 			Status:     http.StatusTooManyRequests,
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -66,7 +66,7 @@
 
 // whole reads an answer to its end and passes it on. An error of the target on a
 // request that may be repeated is held back.
-func (x *Exchange) whole(ctx context.Context, p *Place, sent time.Time, resp *upst.Response, a call.Answer) (hop, *held) {
+func (x *Exchange) whole(ctx context.Context, p *Place, sent time.Time, resp *upst.Response, a call.Answer) (sendResult, *held) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole+1))
 	if err != nil || len(body) > maxWhole || resp.Header.Get("Content-Encoding") != "" {
 		x.gate.Log.Info().Str("request", x.Call.ID).Str("target", x.Target).Err(err).Msg("gate: answer broke off")
@@ -76,7 +76,7 @@
 		} else {
 			p.end(sent, endFailed)
 		}
-		return hopUnknown, nil
+		return sentUnknown, nil
 	}
 	x.First = time.Since(sent)
 	answer := &held{
@@ -86,21 +86,21 @@
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		p.end(sent, endFailed)
-		return hopFailed, answer
+		return sentFailed, answer
 	}
 	if resp.StatusCode < 300 && !a.Signed {
 		// A success without the target's signature is none of the target's.
 		p.end(sent, endFailed)
-		return hopUnknown, nil
+		return sentUnknown, nil
 	}
 	p.end(sent, endWhole)
 	x.Reason = "answered"
 	x.pass(answer)
-	return hopDone, nil
+	return sentDone, nil
 }
 
 // stream passes events on as they come.
-func (x *Exchange) stream(ctx context.Context, p *Place, sent time.Time, resp *upst.Response) hop {
+func (x *Exchange) stream(ctx context.Context, p *Place, sent time.Time, resp *upst.Response) sendResult {
 	rc := http.NewResponseController(x.w)
 	buf := make([]byte, readSize)
 	first := true
@@ -123,14 +123,14 @@
 			if _, werr := x.w.Write(events); werr != nil || rc.Flush() != nil {
 				p.end(sent, endLeft)
 				x.Reason = "caller-left"
-				return hopDone
+				return sentDone
 			}
 		}
 		switch {
 		case err == io.EOF:
 			p.end(sent, endWhole)
 			x.Reason = "answered"
-			return hopDone
+			return sentDone
 		case err != nil:
 			x.events.partial = x.events.partial[:0]
 			x.gate.Log.Info().Str("request", x.Call.ID).Str("target", x.Target).Str("event", x.events.last).Err(err).Msg("gate: stream broke off")
@@ -140,16 +140,16 @@
 }
 
 // cut sorts a stream that broke off.
-func (x *Exchange) cut(ctx context.Context, p *Place, sent time.Time) hop {
+func (x *Exchange) cut(ctx context.Context, p *Place, sent time.Time) sendResult {
 	if ctx.Err() != nil {
 		p.end(sent, endLeft)
 	} else {
 		p.end(sent, endUnreachable)
 	}
 	if x.relayed {
-		return hopCut
+		return sentCut
 	}
-	return hopUnknown
+	return sentUnknown
 }
 
 // head passes the head of a stream on, once.
--- a/lead/session.go
+++ b/lead/session.go
@@ -303,8 +303,8 @@
 	})
 }
 
-// managerRank is how an instance comes to manage a target: the first in the
-// target's order of instances.
+// managerOf returns the instance that is to manage a target which has no manager:
+// the first in the target's order of instances.
 func managerOf(target string, instances []roster.Instance) (roster.Instance, bool) {
 	list := route.TopBy(target, instances, func(i *roster.Instance) string {
 		return i.Name
--- a/node/limits.go
+++ b/node/limits.go
@@ -122,17 +122,17 @@
 }
 
 // Admit implements gate.Limiter.
-func (l *limits) Admit(ctx context.Context, now time.Time, org *conf.Organisation, cost int64) gate.Verdict {
+func (l *limits) Admit(ctx context.Context, now time.Time, id string, org *conf.Organisation, cost int64) gate.Verdict {
 	bounds := limitsFor(org)
-	id := model.OrgID(org.Name)
-	wait, ok := l.taker.Take(ctx, now, id, bounds, cost)
+	name := model.OrgID(org.Name)
+	wait, ok := l.taker.Take(ctx, now, name, bounds, cost)
 	if !ok && wait <= shortWait && clock.Sleep(ctx, max(wait, minWait)) {
-		wait, ok = l.taker.Take(ctx, time.Now(), id, bounds, cost)
+		wait, ok = l.taker.Take(ctx, time.Now(), name, bounds, cost)
 	}
 	if ok {
 		return gate.Within{}
 	}
-	l.node.Log.Info().Str("organisation", org.Name).Int64("tokens", cost).Int64("rate", bounds.Rate).Int64("burst", bounds.Burst).
+	l.node.Log.Info().Str("request", id).Str("organisation", org.Name).Int64("tokens", cost).Int64("rate", bounds.Rate).Int64("burst", bounds.Burst).
 		Int64("part", l.even.Usable(now)).Dur("wait", wait).Msg("limits: refused")
 	return gate.Above{
 		After: max(wait, minWait),
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,84 @@
+package roster_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/roster"
+)
+
+// A view that was taken does not change, and a later one has all changes.
+func TestViewsDoNotChange(t *testing.T) {
+	b := roster.NewBook()
+	b.SetTarget(roster.Target{
+		ID:      "t1",
+		Service: "s",
+		Zone:    "buchs",
+	})
+	require.Empty(t, b.View().Service("s"), "nothing is published yet")
+	b.Publish()
+	before := b.View()
+	b.SetTarget(roster.Target{
+		ID:       "t1",
+		Service:  "s",
+		Zone:     "buchs",
+		Draining: true,
+	})
+	b.SetInstance(roster.Instance{
+		Name: "a",
+	})
+	b.SetManager("t1", roster.Manager{
+		Instance: "a",
+		Fence:    3,
+	})
+	b.Publish()
+	old, _ := before.Target("t1")
+	require.True(t, before.Usable(old))
+	now, _ := b.View().Target("t1")
+	require.False(t, b.View().Usable(now))
+	m, ok := b.View().Manager("t1")
+	require.True(t, ok)
+	require.Equal(t, uint64(3), m.Fence)
+	_, ok = before.Instance("a")
+	require.False(t, ok)
+	b.DropTarget("t1")
+	b.DropManager("t1")
+	b.Publish()
+	require.Zero(t, b.View().Targets())
+}
+
+func TestClosedDataCentre(t *testing.T) {
+	b := roster.NewBook()
+	target := &roster.Target{
+		ID:   "t1",
+		Zone: "buchs",
+	}
+	b.SetClosed("buchs", true)
+	b.Publish()
+	require.False(t, b.View().Usable(target))
+	b.SetClosed("buchs", false)
+	b.Publish()
+	require.True(t, b.View().Usable(target))
+}
+
+func TestVersionsOnlyGrow(t *testing.T) {
+	b := roster.NewBook()
+	b.SetVersion("m/a", 4)
+	b.SetVersion("m/a", 2)
+	b.Publish()
+	v, ok := b.View().Version("m/a")
+	require.True(t, ok)
+	require.Equal(t, uint64(4), v)
+}
+
+func TestSameStart(t *testing.T) {
+	a := roster.Target{
+		ID:   "t1",
+		Born: 1,
+	}
+	again := a
+	again.Born = 2
+	require.True(t, a.SameStart(&a))
+	require.False(t, a.SameStart(&again))
+}
