--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,7 +42,10 @@
 		},
 	}
 	p.hub = &Hub{
-		Self:      "reader",
+		Self: "reader",
+		Peers: func() []Peer {
+			return nil
+		},
 		Followers: []*Follower{p.reader},
 		Log:       quiet,
 		queue:     make(chan Part, 16),
@@ -191,6 +195,30 @@
 	require.Equal(t, 1, reading, "only the first one reads while it is heard")
 }
 
+// In a large fleet few instances read for the others; all others read for themselves
+// while they hear of no reader.
+func TestFewTellTheOthers(t *testing.T) {
+	var names []string
+	for i := range 72 {
+		names = append(names, fmt.Sprintf("n%02d", i))
+	}
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	tell := 0
+	for _, self := range names {
+		h := hub(self, names...)
+		h.queue = make(chan Part, 1)
+		h.Receive(now, Message{
+			From: "reader",
+		})
+		require.True(t, h.mayRead(now.Add(2*time.Second), 1))
+		h.push(Part{})
+		if len(h.queue) > 0 {
+			tell++
+		}
+	}
+	require.Equal(t, maxRank, tell)
+}
+
 // An instance that was cut off alone learns that the store was not.
 func TestOutageIsTheFleetsNotOnesOwn(t *testing.T) {
 	now := time.Now()
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -22,7 +22,10 @@
 	// in force.
 	silentTime = 600 * time.Millisecond
 	rankTime   = 100 * time.Millisecond
-	maxRank    = 8
+	// maxRank instances may read for the others. All further ones read for
+	// themselves while they hear of no reader, and tell nobody: many that told
+	// all others would keep the whole fleet busy.
+	maxRank = 8
 	// freshTime is how recently a reader must have reached the store.
 	freshTime = 700 * time.Millisecond
 	// roleTime is how often an instance that listens looks whether to read.
@@ -172,6 +175,9 @@
 // push queues what was read for the other instances. A part that finds the queue
 // full is missed by them, which the next one shows.
 func (h *Hub) push(p Part) {
+	if !h.tells() {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.queue == nil {
@@ -205,7 +211,7 @@
 			}
 			h.send(ctx, m)
 		case now := <-t.C:
-			if h.fresh(now) {
+			if h.tells() && h.fresh(now) {
 				h.send(ctx, h.ping())
 			}
 		case <-ctx.Done():
@@ -214,6 +220,11 @@
 	}
 }
 
+// tells reports whether this instance is one of those that read for the others.
+func (h *Hub) tells() bool {
+	return h.rank() < maxRank
+}
+
 // fresh reports whether this instance reads and has reached the store lately.
 func (h *Hub) fresh(now time.Time) bool {
 	return h.mayRead(now, 1) && !h.Health.Away() && now.Sub(h.Health.LastReached()) < freshTime
