A stream that is resumed never ends with another answer

Cause: found on reading. A stream that broke off was resumed at a second target; an answer that was no stream (a 404, say) was passed on behind the events already sent, and the stream then ended as whole (MIXED, ORDER). Change: such an answer counts as a failed sending once events have been passed on, so that the caller's connection is broken off.

--- a/gate/relay.go
+++ b/gate/relay.go
@@ -94,6 +94,10 @@
 		return sentUnknown, nil
 	}
 	p.end(sent, endWhole)
+	if x.relayed {
+		// In the middle of a stream that is resumed, this is not its rest.
+		return sentFailed, nil
+	}
 	x.Reason = "answered"
 	x.pass(answer)
 	return sentDone, nil
