A request counts once against the budget of repeats

Cause: found on reading. A request that goes back to a target whose adapter is late leaves no target tried, and was counted as a new request for its service each time, so that the fleet's budget grew with the repeats that it bounds. Change: the request remembers that it was counted; the demand for its adapter too. Result: TestRequestCountsOnce failed before (20 searches earned repeats for 20 requests), and passes.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -35,6 +35,8 @@
 	begun time.Time
 	// demand is how often a second this instance is asked for the adapter.
 	demand float64
+	// counted is set once the request has been counted as one for its service.
+	counted bool
 	// ran is set once a target may have run the request.
 	ran bool
 	// relayed is set once the caller has got the head of the answer.
--- a/gate/router.go
+++ b/gate/router.go
@@ -124,8 +124,10 @@
 	if !ok {
 		return nil, "no-service"
 	}
-	if len(tried) == 0 {
+	if !x.counted {
+		x.counted = true
 		r.Budget.Request(time.Now(), svc.Name)
+		x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
 	}
 	view := r.Book.View()
 	var targets []*roster.Target
@@ -198,7 +200,6 @@
 // engine finds a target of a model service. While none has a place, it asks
 // again, up to a share of the request's time: places come free at any moment.
 func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
-	x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
 	patience := sched.Patience(x.begun, x.Until)
 	ctx, cancel := context.WithDeadline(ctx, sched.GiveUp(x.begun, x.Until))
 	defer cancel()
--- /dev/null
+++ b/gate/router_test.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/call"
+	"currantstile/conf"
+	"currantstile/roster"
+	"currantstile/sched"
+)
+
+// A request that goes back to a target whose adapter is late counts once against the
+// budget of repeats, however often a place is sought for it.
+func TestRequestCountsOnce(t *testing.T) {
+	cfg, err := conf.New(conf.Document{
+		Services: []conf.Service{
+			{
+				Name: "s",
+			},
+		},
+	})
+	require.NoError(t, err)
+	r := &Router{
+		Book: roster.NewBook(),
+		Budget: &sched.Budget{
+			Ratio:  1,
+			Window: 10 * time.Second,
+		},
+	}
+	x := &Exchange{
+		Call: &call.Call{
+			ID: "r1",
+		},
+		Route: &conf.Route{
+			Shares: []conf.Share{
+				{
+					Service: "s",
+					Weight:  1,
+				},
+			},
+		},
+		cfg: cfg,
+	}
+	for range 20 {
+		_, reason := r.Place(context.Background(), x, map[string]bool{})
+		require.Equal(t, "no-target", reason)
+	}
+	require.False(t, r.MayRepeat(time.Now(), x), "one request earns less than one repeat")
+}
