A spoiled entry names no target to use

Cause: found on reading. An entry that cannot be read was decoded without its ID, and dropping the target of an empty name changed nothing: the entry before stayed in use. Change: the ID comes back beside the error.

--- a/node/sources.go
+++ b/node/sources.go
@@ -44,7 +44,8 @@
 	Operator(now time.Time, c feed.Change) (OperatorChange, error)
 	// Same reports whether a target's new entry says nothing new.
 	Same(before, after []byte) bool
-	// Target decodes a target's entry. For a deleted one only the ID is set.
+	// Target decodes a target's entry. For a deleted one, and beside an error, only
+	// the ID is set.
 	Target(now time.Time, c feed.Change) (roster.Target, error)
 }
 
