Only the command imports platform/, and the layer test holds it

Cause: docs/design/platform.md claimed that check, and no test failed without it; the usage text of node named the platform's variable and path itself; the example of package mgmt called Ask with an argument that it does not have. Change: the check, the usage text from platform.SettingsVariable, the example.

--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -26,14 +26,14 @@
 last lies in the platform's store.
 
   -settings FILE      the platform's settings file (default: what the variable
-                      CURRANTSTILE_CONFIG names)
+                      ` + platform.SettingsVariable + ` names)
   -log-level LEVEL    debug, info, warn or error (default info)
 
 The log goes to standard output as one JSON object a line. SIGHUP reads the
 settings file again and reports its faults; addresses change at a start only.
 
 Example:
-  CURRANTSTILE_CONFIG=/etc/currantstile/local.yaml currantstile node
+  currantstile node -settings local.yaml
 `
 
 const (
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -6,7 +6,7 @@
 //
 //	m := &mgmt.Manager{Session: session, Book: book, Orders: orders, Limits: limits}
 //	go m.Run(ctx)
-//	reply := m.Ask(time.Now(), args)
+//	reply := m.Ask(args)
 package mgmt
 
 import (
--- a/tkit/layers_test.go
+++ b/tkit/layers_test.go
@@ -58,6 +58,9 @@
 				require.NotContains(t, []string{"net", "net/http", "net/rpc"}, name, "%s opens sockets", path)
 			}
 			if local, ok := strings.CutPrefix(name, "currantstile/"); ok {
+				if local == "platform" {
+					require.True(t, strings.HasPrefix(filepath.ToSlash(rel), "cmd/"), "%s imports platform", path)
+				}
 				require.LessOrEqual(t, layerOf(local), own, "%s imports %s", path, name)
 			}
 		}
