A pause between the store's answers is no outage

Cause: the reader took 0.7 s without an answer for an outage, though no call had failed; targets that write at nearly the same time leave such pauses. Change: an outage is a call that failed, or 1.8 s without any answer, while no reader is heard; the freshness by which a reader is replaced stays at 0.7 s.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -195,6 +195,23 @@
 	require.Equal(t, 1, reading, "only the first one reads while it is heard")
 }
 
+// A reader that has just not asked, or waits for changes, has no outage; one that the
+// store turns away or leaves without an answer has.
+func TestPauseIsNoOutage(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	h := hub("a", "a", "b")
+	h.Health.Reached(now)
+	h.noteOutage(now.Add(time.Second))
+	require.True(t, h.LastOutage().IsZero())
+	h.noteOutage(now.Add(answerTime))
+	require.Equal(t, now.Add(answerTime), h.LastOutage())
+	later := now.Add(time.Minute)
+	h.Health.Reached(later)
+	h.Health.Missed(later.Add(time.Millisecond))
+	h.noteOutage(later.Add(2 * time.Millisecond))
+	require.Equal(t, later.Add(2*time.Millisecond), h.LastOutage())
+}
+
 // In a large fleet few instances read for the others; all others read for themselves
 // while they hear of no reader.
 func TestFewTellTheOthers(t *testing.T) {
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -28,6 +28,9 @@
 	maxRank = 8
 	// freshTime is how recently a reader must have reached the store.
 	freshTime = 700 * time.Millisecond
+	// answerTime is how long the store may give no answer without being away: each
+	// instance renews its lease more often, and entries lapse after longer.
+	answerTime = 1800 * time.Millisecond
 	// roleTime is how often an instance that listens looks whether to read.
 	roleTime = 100 * time.Millisecond
 	// sendTimeout bounds one message to another instance.
@@ -106,14 +109,20 @@
 // watchOutages notes when it is not known what the store holds.
 func (h *Hub) watchOutages(ctx context.Context) {
 	for clock.Sleep(ctx, roleTime) {
-		now := time.Now()
-		if h.Current(now) {
-			continue
-		}
-		h.mu.Lock()
-		h.outage = now
-		h.mu.Unlock()
+		h.noteOutage(time.Now())
+	}
+}
+
+// noteOutage notes an outage if no reader is heard and the store does not answer
+// this instance. A pause between answers, in which nothing was asked or nothing has
+// changed, is none.
+func (h *Hub) noteOutage(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.heard) < currentTime || !h.Health.Away() && now.Sub(h.Health.LastReached()) < answerTime {
+		return
 	}
+	h.outage = now
 }
 
 // LastOutage is when it was last not known what the store holds, as far as the
