An organisation's priority comes before its route's; the configuration bounds the size of heads

Requests were ranked by their route alone, and heads were bounded by a constant of the same size as today's limit. Change: conf.Config.Rank orders the pairs of organisations and routes that can occur, and spreads them over the ten ranks that targets tell apart; gate refuses larger heads with 431 before anything runs. Time for a head stays a constant: net/http takes it at the start of the server, before a configuration is known.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -204,6 +204,7 @@
 	services map[string]*Service
 	orgs     map[string]*Organisation
 	keys     map[string]*Organisation
+	ranks    []rankKey
 }
 
 // New indexes a document. It returns the document's faults.
@@ -238,6 +239,7 @@
 			c.keys[k] = o
 		}
 	}
+	c.indexRanks()
 	return c, nil
 }
 
--- /dev/null
+++ b/conf/rank_test.go
@@ -0,0 +1,115 @@
+package conf_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/conf"
+)
+
+// TestRank checks that an organisation's priority comes before the route's, and
+// that the routes' order stands among the requests of one organisation.
+func TestRank(t *testing.T) {
+	c, err := conf.New(conf.Document{
+		Routes: []conf.Route{
+			{
+				Name:     "urgent",
+				Prefix:   "/u/",
+				Kind:     conf.KindStream,
+				Priority: 0,
+			},
+			{
+				Name:     "bulk",
+				Prefix:   "/b/",
+				Kind:     conf.KindStream,
+				Priority: 2,
+			},
+		},
+		Organisations: []conf.Organisation{
+			{
+				Name:        "first",
+				Priority:    0,
+				HasPriority: true,
+			},
+			{
+				Name:        "last",
+				Priority:    3,
+				HasPriority: true,
+			},
+			{
+				Name: "plain",
+			},
+		},
+	})
+	require.NoError(t, err)
+	tests := []struct {
+		route string
+		org   string
+		want  int
+	}{
+		{
+			route: "urgent",
+			org:   "first",
+			want:  0,
+		},
+		{
+			route: "urgent",
+			org:   "plain",
+			want:  0,
+		},
+		{
+			route: "bulk",
+			org:   "first",
+			want:  1,
+		},
+		{
+			route: "bulk",
+			org:   "plain",
+			want:  2,
+		},
+		{
+			route: "urgent",
+			org:   "last",
+			want:  3,
+		},
+		{
+			route: "bulk",
+			org:   "last",
+			want:  4,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.route+"/"+tt.org, func(t *testing.T) {
+			r, ok := c.Route("", map[string]string{"urgent": "/u/x", "bulk": "/b/x"}[tt.route])
+			require.True(t, ok)
+			o, ok := c.Organisation(tt.org)
+			require.True(t, ok)
+			require.Equal(t, tt.want, c.Rank(r, o))
+		})
+	}
+}
+
+// TestRanksAreBounded checks that more priorities than targets tell apart keep
+// their order.
+func TestRanksAreBounded(t *testing.T) {
+	d := conf.Document{}
+	for i := range 25 {
+		d.Routes = append(d.Routes, conf.Route{
+			Name:     fmt.Sprint(i),
+			Prefix:   fmt.Sprintf("/%d/", i),
+			Kind:     conf.KindSafe,
+			Priority: i,
+		})
+	}
+	c, err := conf.New(d)
+	require.NoError(t, err)
+	last := 0
+	for i := range c.Routes {
+		rank := c.Rank(&c.Routes[i], nil)
+		require.GreaterOrEqual(t, rank, last)
+		last = rank
+	}
+	require.Equal(t, conf.Ranks-1, last)
+}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -316,13 +316,9 @@
 	return x.Org.Name
 }
 
-// maxPriority is the last rank that targets tell apart.
-const maxPriority = 9
-
-// priority is the request's rank at a target: its route's among the requests of
-// its organisation, after the organisation's.
+// priority is the request's rank at a target.
 func (x *Exchange) priority() int {
-	return min(x.Route.Priority, maxPriority)
+	return x.cfg.Rank(x.Route, x.Org)
 }
 
 // resumeFrom is the event after which the stream goes on.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -90,6 +90,9 @@
 const (
 	// sweepTime is how often idle connections are looked at.
 	sweepTime = time.Second
+	// maxHeaderBytes bounds a request's head whatever the configuration allows,
+	// before it is in force too.
+	maxHeaderBytes = 64 << 10
 	// timeoutMargin is left of the time of a request for its answer to travel.
 	timeoutMargin = 20 * time.Millisecond
 )
@@ -104,7 +107,7 @@
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: conf.DefaultHeaderTimeout,
-		MaxHeaderBytes:    conf.DefaultMaxHeaderBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         g.idle.note,
 		ErrorLog:          nil,
 	}
@@ -219,6 +222,9 @@
 		return refusal(http.StatusBadRequest, err.Error())
 	}
 	x.Call, x.cfg = c, cfg
+	if headerBytes(r) > cfg.Limits.MaxHeaderBytes {
+		return refusal(http.StatusRequestHeaderFieldsTooLarge, "header-too-large")
+	}
 	route, ok := cfg.Route(c.Host, c.Path)
 	if !ok {
 		return refusal(http.StatusNotFound, "no-route")
@@ -242,6 +248,17 @@
 	return g.admit(r.Context(), x)
 }
 
+// headerBytes is the size of a request's head on the wire.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return n
+}
+
 // readBody reads the request's body whole.
 func (g *Gate) readBody(x *Exchange, r *http.Request) *Refusal {
 	limit := x.cfg.Limits.MaxBodyBytes
--- a/gate/router.go
+++ b/gate/router.go
@@ -281,7 +281,7 @@
 			Output:   x.Call.OutputTokens,
 			Limit:    round.Limit,
 			Left:     time.Until(x.Until),
-			Priority: x.Route.Priority,
+			Priority: x.priority(),
 			NoFetch:  !round.Fetch,
 		},
 	}
