Adapters have homes by their demand, which managers count; a waiting ask is no silence

Cause 1: an entry guessed an adapter's demand as its own requests times the number of instances. With 72 instances one request made an adapter count as asked for twelve times a second, so that up to four targets fetched it; and an adapter with a fifth of all requests had eight targets at most, in a fixed order (sums: 113 requests/s of 2,400 prompt tokens against about 8 a target). Cause 2: an ask counted as lost when nothing was heard of its manager for 200 ms. Change: the first ask of a request stands for as many as the adapter has homes, and a target's manager counts prompt tokens by them; the reply tells the asker, which rotates through the homes. An asker that hears nothing for 100 ms asks for a sign of life. Ruled out: load of the managers (processor share below 0.03 of a core).

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -33,8 +33,6 @@
 	cfg   *conf.Config
 	w     http.ResponseWriter
 	begun time.Time
-	// demand is how often a second this instance is asked for the adapter.
-	demand float64
 	// counted is set once the request has been counted as one for its service.
 	counted bool
 	// ran is set once a target may have run the request.
--- a/gate/router.go
+++ b/gate/router.go
@@ -23,8 +23,11 @@
 	// askTimeout bounds an ask of another instance, the wait for a load included.
 	askTimeout = 2500 * time.Millisecond
 	// aliveTime is how long an ask waits for an instance from which nothing was
-	// heard meanwhile.
-	aliveTime = 200 * time.Millisecond
+	// heard meanwhile, and pingTime after how long of silence that instance is
+	// asked for a sign of life: in a large fleet two instances may have nothing
+	// else to say to each other while an ask waits for its turn.
+	aliveTime = 300 * time.Millisecond
+	pingTime  = 100 * time.Millisecond
 	// silentTime is how long the targets of a manager that did not answer are
 	// left out.
 	silentTime = 700 * time.Millisecond
@@ -127,7 +130,6 @@
 	if !x.counted {
 		x.counted = true
 		r.Budget.Request(time.Now(), svc.Name)
-		x.demand = r.demand.Add(time.Now(), x.Call.AdapterName())
 	}
 	view := r.Book.View()
 	var targets []*roster.Target
@@ -219,18 +221,24 @@
 	if key == "" {
 		key = x.Call.ID
 	}
-	order := route.TopBy(key, targets, func(t **roster.Target) string {
+	now := time.Now()
+	demand := r.demand.Rate(now, x.Call.AdapterName())
+	homes := sched.Homes(demand)
+	order := sched.Order(route.TopBy(key, targets, func(t **roster.Target) string {
 		return (*t).ID
-	}, sched.MaxChoices, func(t **roster.Target) bool {
+	}, max(sched.MaxChoices, homes), func(t **roster.Target) bool {
 		return x.Call.Model == "" || (*t).Holds(x.Call.Model)
-	})
+	}), homes, xxhash.Sum64String(x.Call.ID), turn)
 	version, _ := view.Version(x.Call.AdapterName())
 	reason := "no-manager"
 	expected := make(map[string]time.Duration)
-	now := time.Now()
+	asks := 0
+	if turn == 0 {
+		asks = min(homes, len(order))
+	}
 	rounds := sched.Rounds(sched.Wish{
 		Adapter:   x.Call.Adapter != "",
-		Demand:    x.demand * float64(len(view.Instances())),
+		Demand:    demand,
 		Objective: x.Route.Objective - now.Sub(x.begun),
 		Left:      x.Until.Sub(now),
 		Turn:      turn,
@@ -243,7 +251,8 @@
 			if ctx.Err() != nil {
 				return nil, "timeout"
 			}
-			p, reply := r.ask(ctx, x, view, t, version, round)
+			p, reply := r.ask(ctx, x, view, t, version, round, asks)
+			asks = 0
 			if p != nil {
 				return p, ""
 			}
@@ -258,7 +267,7 @@
 
 // ask asks a target's manager, and holds the request back until the target is
 // ready for it.
-func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round sched.Round) (*Place, wire.AskReply) {
+func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round sched.Round, asks int) (*Place, wire.AskReply) {
 	m, ok := view.Manager(t.ID)
 	if !ok || r.isSilent(time.Now(), m.Instance) {
 		return nil, wire.AskReply{}
@@ -283,9 +292,11 @@
 			Left:     time.Until(x.Until),
 			Priority: x.priority(),
 			NoFetch:  !round.Fetch,
+			Asks:     asks,
 		},
 	}
 	reply := r.call(ctx, view, p, args)
+	r.demand.Told(time.Now(), x.Call.AdapterName(), reply.Demand)
 	x.gate.Log.Debug().Str("request", x.Call.ID).Str("target", t.ID).Bool("granted", reply.Granted).
 		Str("reason", string(reply.Reason)).Dur("expected", reply.Expected).Msg("gate: asked")
 	if !reply.Granted {
@@ -343,7 +354,7 @@
 		}
 	}()
 	begun := time.Now()
-	alive := time.NewTicker(aliveTime)
+	alive := time.NewTicker(pingTime)
 	defer alive.Stop()
 	for {
 		select {
@@ -360,6 +371,10 @@
 				begun = now
 				continue
 			}
+			if now.Sub(begun) < aliveTime {
+				go r.ping(in)
+				continue
+			}
 			cancel()
 			r.Log.Info().Str("instance", p.manager).Msg("gate: nothing is heard of a manager")
 			r.noteSilent(now, p.manager)
@@ -370,6 +385,16 @@
 	}
 }
 
+// ping asks an instance for a sign of life.
+func (r *Router) ping(in roster.Instance) {
+	ctx, cancel := context.WithTimeout(context.Background(), aliveTime)
+	defer cancel()
+	// The silence of an instance that does not answer is seen by who waits for it.
+	if r.Peers.Call(ctx, in.Peers, wire.MethodPing, wire.Empty{}, &wire.Empty{}) == nil {
+		r.noteHeard(time.Now(), in.Name)
+	}
+}
+
 func (r *Router) noteHeard(now time.Time, instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -63,6 +63,7 @@
 	mu      sync.Mutex
 	targets map[string]*managed
 	loads   sched.Loads
+	demand  sched.Demand
 	// modelAt is when the last base model was ordered that had to come from the
 	// weight store.
 	modelAt time.Time
@@ -219,7 +220,24 @@
 	if mt == nil {
 		return wire.AskReply{}
 	}
-	ask := args.Ask
+	demand := 0.0
+	if args.Ask.Adapter != "" {
+		tokens := float64(args.Ask.Prompt) * float64(args.Ask.Asks)
+		demand = m.demand.Add(time.Now(), demandKey(args), tokens)
+	}
+	reply := m.decide(mt, args.Ask)
+	reply.Demand = demand
+	return reply
+}
+
+// demandKey names an adapter at one of its homes: each home has an estimate of its
+// own.
+func demandKey(args wire.AskArgs) string {
+	return args.Target + "/" + args.Ask.Adapter
+}
+
+// decide answers an ask once its target has decided on it.
+func (m *Manager) decide(mt *managed, ask sched.Ask) wire.AskReply {
 	until := time.Now().Add(askTime)
 	for time.Now().Before(until) {
 		mt.mu.Lock()
@@ -300,3 +318,8 @@
 	s.Manager.Notes(args)
 	return nil
 }
+
+// Ping answers wire.MethodPing.
+func (s *Service) Ping(_ wire.Empty, _ *wire.Empty) error {
+	return nil
+}
--- a/sched/ask.go
+++ b/sched/ask.go
@@ -34,6 +34,10 @@
 	Priority int
 	// NoFetch declines if the adapter would have to come from the weight store.
 	NoFetch bool
+	// Asks is for how many first asks of requests this one stands: the number of
+	// homes among which the asker chose this target, or 0 if another one was
+	// asked before.
+	Asks int
 	// Turn is set once the ask's turn to fetch from the weight store has come.
 	Turn bool
 }
--- a/sched/rounds.go
+++ b/sched/rounds.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// nearChoices targets are asked first, and MaxChoices at most.
@@ -20,9 +24,14 @@
 	// lateShare of the time that is left is what a late answer may take to
 	// begin.
 	lateShare = 0.8
-	// hotDemand is how often a second an adapter is asked for, over all
-	// instances, from which on it is brought to further targets early.
-	hotDemand = 1.5
+	// hotDemand is how many prompt tokens a second are asked for with an
+	// adapter, over all instances, from which on it is brought to further
+	// targets early: one and a half prompts of the deployments' sheets.
+	hotDemand = 3000
+	// homeShare of what a target reads is planned for one adapter at each of
+	// its homes: targets are about half busy with all adapters on the
+	// deployments' sheets, and prompts that come together are to begin in time.
+	homeShare = 0.25
 	// placeShare of a request's time may pass until no target is asked any more,
 	// and giveUpShare until a question that is still open is given up.
 	placeShare  = 0.4
@@ -33,8 +42,8 @@
 
 // Wish is what a request wants of the targets that may serve it.
 type Wish struct {
-	// Adapter is set if the request needs one, and Demand is how often a second
-	// it is asked for over all instances.
+	// Adapter is set if the request needs one, and Demand is how many prompt
+	// tokens a second are asked for with it over all instances.
 	Adapter bool
 	Demand  float64
 	// Objective is what is left of the time in which the first token counts as
@@ -47,7 +56,7 @@
 
 // Round is one round of asking targets in the order of the request's adapter.
 type Round struct {
-	// Choices is how many targets are asked.
+	// Choices is how many targets are asked, from the front of the order.
 	Choices int
 	// Limit is the longest time to the first token.
 	Limit time.Duration
@@ -92,6 +101,26 @@
 	})
 }
 
+// Homes is how many targets an adapter needs whose requests have so many prompt
+// tokens a second.
+func Homes(demand float64) int {
+	return max(int(math.Ceil(demand/(homeShare*prefillRate*1000))), 1)
+}
+
+// Order arranges targets for one request, best first: its adapter's homes, which
+// are the first of the list, begin with another one for each request and turn, so
+// that they share the load; the further ones follow. The list is changed.
+func Order[T any](targets []T, homes int, pick uint64, turn int) []T {
+	homes = min(homes, len(targets))
+	if homes < 2 {
+		return targets
+	}
+	first := int((pick + uint64(turn)) % uint64(homes))
+	rotated := append(slices.Clone(targets[first:homes]), targets[:first]...)
+	copy(targets, rotated)
+	return targets
+}
+
 // GiveUp is when a request that has no place yet is refused, so that its caller has
 // time to come back.
 func GiveUp(begun, until time.Time) time.Time {
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -12,6 +12,7 @@
 	ServiceSched = "Sched"
 	MethodAsk    = "Sched.Ask"
 	MethodNotes  = "Sched.Notes"
+	MethodPing   = "Sched.Ping"
 )
 
 // AskArgs asks a target's manager for the right to send a request.
@@ -28,6 +29,9 @@
 	After    time.Duration
 	Expected time.Duration
 	Reason   sched.Reason
+	// Demand is how many prompt tokens a second are asked for with the ask's
+	// adapter, over all instances, as far as the target's manager knows.
+	Demand float64
 }
 
 // NotesArgs tells a manager what happened to requests that it granted.
