While the store is away an instance's parts share one probe, and few instances probe often

Cause: with 72 instances, each of three followers and the session asked a store that was away for itself, every 0.5 to 0.8 s: sums give about 400 calls a second, all priced, for instances that are told of changes by eight readers anyway. Change: feed.Health paces the calls of all parts of an instance while the store is away, up to 0.8 s at the eight readers and 2.4 s elsewhere; a reader that is heard again ends the pause, and a watch after a miss waits 0.1 s, so that its answer tells soon. Calls are counted by name and outcome, served as figures and logged every 10 s. Tests: feed.TestOutageCostsFewCalls (failed: 200 calls in 5 s of the old pace have no bound in Health), TestStoreThatReturnsIsAskedAtOnce, platform.TestReadiness.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -29,6 +29,8 @@
 const (
 	// watchWait is how long one watch waits for changes.
 	watchWait = 4 * time.Second
+	// awayWait is how long one waits after a call that was not carried out.
+	awayWait = 100 * time.Millisecond
 	// DefaultPause is left between two watches.
 	DefaultPause = 100 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
@@ -126,7 +128,12 @@
 	f.mu.Lock()
 	after := f.revision
 	f.mu.Unlock()
-	b, err := f.KV.Watch(ctx, f.Prefix, after, watchWait)
+	wait := watchWait
+	if f.Health.Away() {
+		// The answer is to tell soon whether the store is back.
+		wait = awayWait
+	}
+	b, err := f.KV.Watch(ctx, f.Prefix, after, wait)
 	if err != nil {
 		return err
 	}
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -109,6 +109,7 @@
 // watchOutages notes when it is not known what the store holds.
 func (h *Hub) watchOutages(ctx context.Context) {
 	for clock.Sleep(ctx, roleTime) {
+		h.Health.SetPatient(!h.tells())
 		h.noteOutage(time.Now())
 	}
 }
@@ -136,7 +137,8 @@
 // follow reads one prefix while this instance is to read.
 func (h *Hub) follow(ctx context.Context, f *Follower) {
 	for ctx.Err() == nil {
-		if !h.mayRead(time.Now(), f.Readers) && !f.needsStore() {
+		now := time.Now()
+		if !h.mayRead(now, f.Readers) && !f.needsStore() || !h.Health.MayAsk(now) {
 			clock.Sleep(ctx, roleTime)
 			continue
 		}
@@ -270,6 +272,9 @@
 // Receive takes in a reader's message.
 func (h *Hub) Receive(now time.Time, m Message) {
 	h.mu.Lock()
+	if now.Sub(h.heard) >= currentTime {
+		h.Health.Returned()
+	}
 	h.heard = now
 	h.from = m.From
 	if calm := now.Add(-m.Calm); calm.Before(h.outage) {
--- a/lead/session.go
+++ b/lead/session.go
@@ -139,10 +139,10 @@
 	pausing := now.Before(s.retryAt)
 	s.mu.Unlock()
 	switch {
-	case pausing:
+	case pausing || lease != "" && !due || !s.Health.MayAsk(now):
 	case lease == "":
 		s.open(ctx)
-	case due:
+	default:
 		s.renew(ctx, lease)
 	}
 	s.claim(ctx, time.Now())
--- a/node/figures.go
+++ b/node/figures.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"currantstile/gate"
 	"currantstile/hist"
 )
@@ -19,6 +21,8 @@
 type figures struct {
 	counts *expvar.Map
 	gauges *expvar.Map
+	// storeCalls are counted by name and outcome.
+	storeCalls *expvar.Map
 
 	mu    sync.Mutex
 	first map[string]*hist.Histogram
@@ -31,7 +35,9 @@
 	return &figures{
 		counts: new(expvar.Map).Init(),
 		gauges: new(expvar.Map).Init(),
-		first:  make(map[string]*hist.Histogram),
+
+		storeCalls: new(expvar.Map).Init(),
+		first:      make(map[string]*hist.Histogram),
 	}
 }
 
@@ -53,6 +59,24 @@
 	}
 }
 
+// countStore takes in a call of the store.
+func (f *figures) countStore(call string, err error) {
+	outcome := "-done"
+	if err != nil {
+		outcome = "-failed"
+	}
+	f.storeCalls.Add(call+outcome, 1)
+}
+
+// logStore logs how many calls of the store there were since the start.
+func (f *figures) logStore(l *log.Logger) {
+	line := l.Info()
+	f.storeCalls.Do(func(kv expvar.KeyValue) {
+		line.Str(kv.Key, kv.Value.String())
+	})
+	line.Msg("node: calls of the store")
+}
+
 // set takes in an instance's present state.
 func (f *figures) set(n *Node) {
 	now := time.Now()
@@ -82,6 +106,9 @@
 			fmt.Fprintf(&b, "currantstile_%s %s\n", kv.Key, kv.Value)
 		})
 	}
+	f.storeCalls.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&b, "currantstile_store_calls_total{call=%q} %s\n", kv.Key, kv.Value)
+	})
 	f.mu.Lock()
 	routes := make([]string, 0, len(f.first))
 	for r := range f.first {
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,8 @@
 	// be due to it.
 	storeWindow = 3 * time.Second
 	houseTime   = 250 * time.Millisecond
+	// totalsTime is how often the totals of the store's calls are logged.
+	totalsTime = 10 * time.Second
 	// operatorReaders watch what the operator writes, which is seldom.
 	operatorReaders = 2
 	// targetsPause gathers what targets write, which they do about once a second
@@ -110,6 +112,10 @@
 	n.book = roster.NewBook()
 	n.pool = &peer.Pool{}
 	n.figures = newFigures()
+	n.KV = &store.Observed{
+		KV:      n.KV,
+		Observe: n.figures.countStore,
+	}
 	n.buildTargets()
 	n.buildFeeds()
 	n.limits = newLimits(n)
@@ -310,10 +316,16 @@
 
 // house drops targets that did not come back.
 func (n *Node) house(ctx context.Context) {
+	told := time.Now()
 	for clock.Sleep(ctx, houseTime) {
-		n.dropGone(time.Now())
-		n.limits.look(time.Now())
+		now := time.Now()
+		n.dropGone(now)
+		n.limits.look(now)
 		n.figures.set(n)
+		if now.Sub(told) >= totalsTime {
+			told = now
+			n.figures.logStore(&n.Log)
+		}
 	}
 }
 
