Waiting prompts count in the time to the first token; unread prompts are bounded by pause and event size

Cause 1: a manager's expected time to the first token left out the prompts that waited at it, and an ask kept its first limit however long it had waited. Cause 3: a prompt whose adapter was still on its way counted as being read. Change: expected time counts waiting prompts; an ask's limit shrinks with its wait; the bound of unread prompts follows from the pause and the tokens of an event in the configuration (6,531 for two steps, 3,170 for three); held requests count once sent. Ruled out: adapters (2,195 fetched, about the floor of first uses), processor share.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -83,7 +83,9 @@
 	// AdapterSlots is how many adapters a target holds, those on their way
 	// included.
 	AdapterSlots int
-	Models       []Model
+	// EventTokens is how many tokens one event of a stream holds; 0 is not known.
+	EventTokens int
+	Models      []Model
 	// LoadsPerSecond is how many base models may begin to come from the weight
 	// store in a second, over all targets; 0 is no bound.
 	LoadsPerSecond float64
@@ -100,6 +102,15 @@
 	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
+
+	// gap is the shortest MaxGap of the routes that lead here.
+	gap time.Duration
+}
+
+// MaxGap is the longest pause between events that is prompt for all streams of the
+// service; 0 if no route says.
+func (s *Service) MaxGap() time.Duration {
+	return s.gap
 }
 
 // Organisation is a customer with its keys and its limit in tokens.
@@ -240,9 +251,22 @@
 		}
 	}
 	c.indexRanks()
+	c.indexGaps()
 	return c, nil
 }
 
+// indexGaps finds the shortest pause that the routes to each service allow.
+func (c *Config) indexGaps() {
+	for _, r := range c.Routes {
+		for _, share := range r.Shares {
+			s := c.services[share.Service]
+			if r.MaxGap > 0 && (s.gap == 0 || r.MaxGap < s.gap) {
+				s.gap = r.MaxGap
+			}
+		}
+	}
+}
+
 // Route returns the route of a host with the longest prefix of the path.
 func (c *Config) Route(host, path string) (*Route, bool) {
 	for _, r := range c.hosts[host] {
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -26,8 +26,12 @@
 	// Target is where the request was sent last, and Sent how often it was.
 	Target string
 	Sent   int
-	// First is the time to the first byte of the answer.
-	First time.Duration
+	// Waited is how long the request waited here before it was sent last, First the
+	// time from there to the first byte of the answer, and Pause the longest
+	// time between two reads of a stream.
+	Waited time.Duration
+	First  time.Duration
+	Pause  time.Duration
 
 	gate  *Gate
 	cfg   *conf.Config
@@ -203,7 +207,7 @@
 		line.Uint64("configuration", x.cfg.Version)
 	}
 	line.Str("target", x.Target).Int("sent", x.Sent).Int("status", x.Status).Str("reason", x.Reason).
-		Dur("first", x.First).Dur("took", took).Msg("gate: request")
+		Dur("waited", x.Waited).Dur("first", x.First).Dur("pause", x.Pause).Dur("took", took).Msg("gate: request")
 	if x.gate.Count != nil {
 		route, org := "", ""
 		if x.Route != nil {
@@ -221,6 +225,7 @@
 	x.Target = p.Target.ID
 	x.Sent++
 	sent := time.Now()
+	x.Waited = sent.Sub(x.begun)
 	resp, err := x.gate.Conns.Send(ctx, upst.Request{
 		Addr:    p.Target.Addr,
 		Method:  x.Call.Method,
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -107,13 +107,18 @@
 func (x *Exchange) stream(ctx context.Context, p *Place, sent time.Time, resp *upst.Response) sendResult {
 	rc := http.NewResponseController(x.w)
 	buf := make([]byte, readSize)
-	first := true
+	var last time.Time
 	for {
 		n, err := resp.Body.Read(buf)
-		if n > 0 && first {
-			first = false
-			x.First = time.Since(sent)
-			p.first(sent)
+		if n > 0 {
+			now := time.Now()
+			if last.IsZero() {
+				x.First = now.Sub(sent)
+				p.first(sent)
+			} else {
+				x.Pause = max(x.Pause, now.Sub(last))
+			}
+			last = now
 		}
 		events := x.events.add(buf[:n])
 		if err == io.EOF {
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -238,10 +238,13 @@
 
 // decide answers an ask once its target has decided on it.
 func (m *Manager) decide(mt *managed, ask sched.Ask) wire.AskReply {
-	until := time.Now().Add(askTime)
-	for time.Now().Before(until) {
+	begun := time.Now()
+	limit, left := ask.Limit, ask.Left
+	for now := begun; now.Sub(begun) < askTime; now = time.Now() {
+		// What has been waited already is not left to wait elsewhere.
+		ask.Limit, ask.Left = limit-now.Sub(begun), left-now.Sub(begun)
 		mt.mu.Lock()
-		d := mt.state.Ask(time.Now(), ask)
+		d := mt.state.Ask(now, ask)
 		changed := mt.changed
 		mt.mu.Unlock()
 		switch d := d.(type) {
--- a/node/sources.go
+++ b/node/sources.go
@@ -185,6 +185,8 @@
 		MemoryTokens: int64(s.Engine.MemoryTokens),
 		AdapterSlots: s.Engine.AdapterSlots,
 		ColdRate:     s.ColdRate,
+		EventSteps:   s.Engine.EventTokens,
+		MaxGap:       s.MaxGap(),
 	}, true
 }
 
--- a/sched/ask.go
+++ b/sched/ask.go
@@ -11,6 +11,35 @@
 	AdapterSlots int
 	// ColdRate is how many requests a second a cold target bears; 0 is no bound.
 	ColdRate float64
+	// EventSteps is how many steps of the batch one event of a stream takes, and
+	// MaxGap the longest pause between events that counts as prompt; without
+	// them the defaults hold.
+	EventSteps int
+	MaxGap     time.Duration
+}
+
+// Defaults of Limits, from the deployments' sheets.
+const (
+	defaultEventSteps = 2
+	defaultMaxGap     = 400 * time.Millisecond
+)
+
+// unread is how many prompt tokens may be on their way to a target or read there at
+// once, but for a single longer prompt. Whenever a prompt has been read the next one
+// comes one step later, so that in the steps of one event the target reads this many
+// once less often than there are steps. Together that is to take less than the
+// longest prompt pause between events.
+func (l *Limits) unread() int64 {
+	steps, gap := l.EventSteps, l.MaxGap
+	if steps <= 0 {
+		steps = defaultEventSteps
+	}
+	if gap <= 0 {
+		gap = defaultMaxGap
+	}
+	reading := gap - time.Duration(steps)*stepTime
+	tokens := unreadShare * prefillRate * float64(reading) / float64(time.Millisecond)
+	return int64(tokens / float64(max(steps-1, 1)))
 }
 
 // Ask is a request for the right to run on a target.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -37,10 +37,9 @@
 	recentLoad = 25 * time.Millisecond
 	// loadMargin is added to a load's expected end before a request is sent.
 	loadMargin = 12 * time.Millisecond
-	// maxUnread is how many prompt tokens may be on their way to a target or read
-	// there at once, but for a single longer prompt: what a target reads in a
-	// good part of the longest prompt pause between events.
-	maxUnread = 6500
+	// unreadShare of the longest prompt pause between events may be spent on
+	// reading prompts; the rest is for the way of the events.
+	unreadShare = 0.9
 	// waitTime is how long an ask counts as waiting that does not ask again.
 	waitTime = 150 * time.Millisecond
 	// maxLoad is after how long an adapter that was ordered and is not there does
@@ -85,15 +84,19 @@
 type waiter struct {
 	priority int
 	order    int
+	prompt   int64
 	until    time.Time
 }
 
 // grant is a request that may run.
 type grant struct {
-	prompt   int64
-	adapter  string
-	tokens   int64
+	prompt  int64
+	adapter string
+	tokens  int64
+	// begun is when the request was granted, and sendAt when it is sent, once its
+	// adapter is in place.
 	begun    time.Time
+	sendAt   time.Time
 	expected time.Duration
 	started  bool
 	until    time.Time
@@ -222,19 +225,13 @@
 func (t *Target) mustWait(now time.Time, a Ask) bool {
 	unread := int64(0)
 	for _, g := range t.grants {
-		if !g.started {
+		if !g.started && !now.Before(g.sendAt) {
 			unread += g.prompt
 		}
 	}
-	wait := unread > 0 && unread+a.Prompt > maxUnread
-	for id, w := range t.waiting {
-		switch {
-		case now.After(w.until):
-			delete(t.waiting, id)
-		case id == a.ID:
-		case w.before(t.waiting[a.ID], a.Priority):
-			wait = true
-		}
+	wait := unread > 0 && unread+a.Prompt > t.Limits.unread()
+	if t.promptsAhead(now, a) > 0 {
+		wait = true
 	}
 	if !wait {
 		delete(t.waiting, a.ID)
@@ -247,12 +244,29 @@
 		t.waiting[a.ID] = &waiter{
 			priority: a.Priority,
 			order:    t.waitings,
+			prompt:   a.Prompt,
 			until:    now.Add(waitTime),
 		}
 	}
 	return true
 }
 
+// promptsAhead is how many prompt tokens wait before an ask, and forgets the waiters
+// that do not ask any more.
+func (t *Target) promptsAhead(now time.Time, a Ask) int64 {
+	ahead := int64(0)
+	for id, w := range t.waiting {
+		switch {
+		case now.After(w.until):
+			delete(t.waiting, id)
+		case id == a.ID:
+		case w.before(t.waiting[a.ID], a.Priority):
+			ahead += max(w.prompt, 1)
+		}
+	}
+	return ahead
+}
+
 // before reports whether a waiting ask comes before another one, which is nil if
 // it has just come.
 func (w *waiter) before(other *waiter, priority int) bool {
@@ -275,7 +289,7 @@
 	default:
 		wait = max(r.ready.Sub(now), 0)
 	}
-	wait = max(wait, t.readEnd.Sub(now))
+	wait = max(wait, t.readEnd.Sub(now)+t.readTime(now, t.promptsAhead(now, a)))
 	sum := wait + t.readTime(now, a.Prompt) + stepTime + t.overdue(now)
 	return time.Duration(float64(sum) * (1 + troubleCost*t.troubleNow(now)))
 }
@@ -305,12 +319,13 @@
 		r.used = now
 		after = max(r.ready.Sub(now), 0)
 	}
-	t.readEnd = now.Add(max(t.readEnd.Sub(now), after) + t.readTime(now, a.Prompt))
+	t.readEnd = now.Add(max(t.readEnd.Sub(now), 0) + t.readTime(now, a.Prompt))
 	t.grants[a.ID] = &grant{
 		prompt:   a.Prompt,
 		adapter:  a.Adapter,
 		tokens:   a.Prompt + a.Output,
 		begun:    now,
+		sendAt:   now.Add(after),
 		expected: expected,
 		until:    now.Add(a.Left + grantSlack),
 	}
