Long prompts of popular adapters are kept apart; askers that know too little choose again

Cause 2: with 72 instances an instance is asked for most popular adapters every ten seconds or so, and had forgotten their demand each time: it took them for rare ones. Cause 3: an ask that had waited and was declined stayed in its target's line for 150 ms. Change: a tenth of the targets take the long prompts of adapters with several homes, and nothing else of these; a manager that is asked with too few homes in mind tells the demand, and the asker chooses once more; declined asks leave the line. Ruled out: pairs of prompts read one after the other. Tests: sched.TestDeclinedWaiterIsForgotten (failed), TestLongTargets, TestHomes.

--- a/gate/router.go
+++ b/gate/router.go
@@ -144,7 +144,7 @@
 	if svc.Engine == nil {
 		return r.plain(svc, view, targets)
 	}
-	return r.engine(ctx, x, view, targets)
+	return r.engine(ctx, x, svc, view, targets)
 }
 
 // service is the service that a request goes to, by its ID among the shares of
@@ -201,12 +201,12 @@
 
 // engine finds a target of a model service. While none has a place, it asks
 // again, up to a share of the request's time: places come free at any moment.
-func (r *Router) engine(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target) (*Place, string) {
+func (r *Router) engine(ctx context.Context, x *Exchange, svc *conf.Service, view *roster.View, targets []*roster.Target) (*Place, string) {
 	patience := sched.Patience(x.begun, x.Until)
 	ctx, cancel := context.WithDeadline(ctx, sched.GiveUp(x.begun, x.Until))
 	defer cancel()
 	for turn := 0; ; turn++ {
-		p, reason := r.engineOnce(ctx, x, view, targets, turn)
+		p, reason := r.engineOnce(ctx, x, svc, view, targets, turn, false)
 		if p != nil || !time.Now().Before(patience) || !clock.Sleep(ctx, sched.AskPause) {
 			return p, reason
 		}
@@ -215,30 +215,23 @@
 
 // engineOnce asks the managers of the request's targets in the order of its adapter,
 // at first with little patience, so that a request stays with the targets that
-// hold its adapter as long as they are quick.
-func (r *Router) engineOnce(ctx context.Context, x *Exchange, view *roster.View, targets []*roster.Target, turn int) (*Place, string) {
-	key := x.Call.AdapterName()
-	if key == "" {
-		key = x.Call.ID
-	}
+// hold its adapter as long as they are quick. Told of more demand than it knew of, it
+// chooses again, once.
+func (r *Router) engineOnce(ctx context.Context, x *Exchange, svc *conf.Service, view *roster.View, targets []*roster.Target, turn int, again bool) (*Place, string) {
 	now := time.Now()
 	demand := r.demand.Rate(now, x.Call.AdapterName())
 	homes := sched.Homes(demand)
-	order := sched.Order(route.TopBy(key, targets, func(t **roster.Target) string {
-		return (*t).ID
-	}, max(sched.MaxChoices, homes), func(t **roster.Target) bool {
-		return x.Call.Model == "" || (*t).Holds(x.Call.Model)
-	}), homes, xxhash.Sum64String(x.Call.ID), turn)
+	order, asks := r.order(x, svc, targets, homes, turn)
 	version, _ := view.Version(x.Call.AdapterName())
 	reason := "no-manager"
 	expected := make(map[string]time.Duration)
-	asks := 0
-	if turn == 0 {
-		asks = min(homes, len(order))
+	if turn > 0 || again {
+		asks = 0
 	}
 	rounds := sched.Rounds(sched.Wish{
 		Adapter:   x.Call.Adapter != "",
 		Demand:    demand,
+		Prompt:    x.Call.PromptTokens,
 		Objective: x.Route.Objective - now.Sub(x.begun),
 		Left:      x.Until.Sub(now),
 		Turn:      turn,
@@ -252,10 +245,13 @@
 				return nil, "timeout"
 			}
 			p, reply := r.ask(ctx, x, view, t, version, round, asks)
-			asks = 0
 			if p != nil {
 				return p, ""
 			}
+			if reply.Reason == sched.ReasonDemand {
+				return r.engineOnce(ctx, x, svc, view, targets, turn, true)
+			}
+			asks = 0
 			if reply.Reason != "" {
 				reason = string(reply.Reason)
 			}
@@ -265,6 +261,54 @@
 	return nil, reason
 }
 
+// order arranges the targets for a request, best first: those of its adapter's own
+// order that hold its model. The long prompts of an adapter with several homes go to
+// targets that are kept apart for them, and its other requests elsewhere. It also
+// returns for how many first asks of requests the first of them stands; the long ones
+// are not counted.
+func (r *Router) order(x *Exchange, svc *conf.Service, targets []*roster.Target, homes, turn int) ([]*roster.Target, int) {
+	key := x.Call.AdapterName()
+	if key == "" {
+		key = x.Call.ID
+	}
+	pick := xxhash.Sum64String(x.Call.ID)
+	apart := map[*roster.Target]bool{}
+	if homes > 1 {
+		for _, t := range top(longKey, targets, sched.LongTargets(len(targets)), anyTarget) {
+			apart[t] = true
+		}
+	}
+	holds := func(t **roster.Target) bool {
+		return (x.Call.Model == "" || (*t).Holds(x.Call.Model)) && !apart[*t]
+	}
+	order := sched.Order(top(key, targets, max(sched.MaxChoices, homes), holds), homes, pick, turn)
+	limits := sched.Limits{
+		EventSteps: svc.Engine.EventTokens,
+		MaxGap:     svc.MaxGap(),
+	}
+	if len(apart) == 0 || !limits.Long(x.Call.PromptTokens) {
+		return order, min(homes, len(order))
+	}
+	long := top(key, targets, sched.MaxChoices/2, func(t **roster.Target) bool {
+		return (x.Call.Model == "" || (*t).Holds(x.Call.Model)) && apart[*t]
+	})
+	return append(sched.Order(long, len(long), pick, turn), order...), 0
+}
+
+// longKey orders the targets that are kept apart for long prompts.
+const longKey = "long-prompts"
+
+func anyTarget(**roster.Target) bool {
+	return true
+}
+
+// top are the first n targets of a key's order that are kept.
+func top(key string, targets []*roster.Target, n int, keep func(**roster.Target) bool) []*roster.Target {
+	return route.TopBy(key, targets, func(t **roster.Target) string {
+		return (*t).ID
+	}, n, keep)
+}
+
 // ask asks a target's manager, and holds the request back until the target is
 // ready for it.
 func (r *Router) ask(ctx context.Context, x *Exchange, view *roster.View, t *roster.Target, version uint64, round sched.Round, asks int) (*Place, wire.AskReply) {
--- a/mgmt/mgmt.go
+++ b/mgmt/mgmt.go
@@ -225,6 +225,12 @@
 		tokens := float64(args.Ask.Prompt) * float64(args.Ask.Asks)
 		demand = m.demand.Add(time.Now(), demandKey(args), tokens)
 	}
+	if sched.Outdated(args.Ask.Asks, demand) {
+		return wire.AskReply{
+			Reason: sched.ReasonDemand,
+			Demand: demand,
+		}
+	}
 	reply := m.decide(mt, args.Ask)
 	reply.Demand = demand
 	return reply
--- a/sched/ask.go
+++ b/sched/ask.go
@@ -24,22 +24,39 @@
 	defaultMaxGap     = 400 * time.Millisecond
 )
 
+// Long reports whether the reading of a prompt alone holds up the events of all streams
+// on a target for longer than is prompt.
+func (l *Limits) Long(prompt int64) bool {
+	return prompt > l.eventTokens()
+}
+
+// eventTokens is how many prompt tokens a target may read in the steps of one event,
+// so that the pause before the event counts as prompt.
+func (l *Limits) eventTokens() int64 {
+	reading := l.gap() - time.Duration(l.steps())*stepTime
+	return int64(unreadShare * prefillRate * float64(reading) / float64(time.Millisecond))
+}
+
 // unread is how many prompt tokens may be on their way to a target or read there at
 // once, but for a single longer prompt. Whenever a prompt has been read the next one
 // comes one step later, so that in the steps of one event the target reads this many
-// once less often than there are steps. Together that is to take less than the
-// longest prompt pause between events.
+// once less often than there are steps.
 func (l *Limits) unread() int64 {
-	steps, gap := l.EventSteps, l.MaxGap
-	if steps <= 0 {
-		steps = defaultEventSteps
+	return l.eventTokens() / int64(max(l.steps()-1, 1))
+}
+
+func (l *Limits) steps() int {
+	if l.EventSteps > 0 {
+		return l.EventSteps
 	}
-	if gap <= 0 {
-		gap = defaultMaxGap
+	return defaultEventSteps
+}
+
+func (l *Limits) gap() time.Duration {
+	if l.MaxGap > 0 {
+		return l.MaxGap
 	}
-	reading := gap - time.Duration(steps)*stepTime
-	tokens := unreadShare * prefillRate * float64(reading) / float64(time.Millisecond)
-	return int64(tokens / float64(max(steps-1, 1)))
+	return defaultMaxGap
 }
 
 // Ask is a request for the right to run on a target.
@@ -119,6 +136,9 @@
 	ReasonModel     Reason = "base-model-not-there"
 	ReasonFetch     Reason = "adapter-not-at-hand"
 	ReasonNoOrders  Reason = "orders-not-allowed"
+	// ReasonDemand is given to an asker that knows too little of the adapter's
+	// demand to choose among its homes.
+	ReasonDemand Reason = "more-homes"
 )
 
 // Declined means that the request should go elsewhere.
--- a/sched/demand_test.go
+++ b/sched/demand_test.go
@@ -47,6 +47,22 @@
 	require.Equal(t, 1, sched.Homes(4000))
 	require.Equal(t, 2, sched.Homes(5000))
 	require.Greater(t, sched.Homes(230_000), 20)
+	require.False(t, sched.Outdated(1, 4000))
+	require.True(t, sched.Outdated(1, 5000))
+	require.False(t, sched.Outdated(3, 5000))
+	require.False(t, sched.Outdated(0, 230_000), "an ask that is not the first does not choose again")
+}
+
+func TestLongTargets(t *testing.T) {
+	require.Zero(t, sched.LongTargets(4), "a small fleet keeps none apart")
+	require.Equal(t, 2, sched.LongTargets(18))
+	require.Equal(t, 14, sched.LongTargets(140))
+	l := sched.Limits{
+		EventSteps: 3,
+		MaxGap:     400 * time.Millisecond,
+	}
+	require.False(t, l.Long(6000))
+	require.True(t, l.Long(7000))
 }
 
 // The homes of an adapter begin with each of them in turn; what follows them stays
@@ -163,6 +179,7 @@
 	for _, round := range sched.Rounds(sched.Wish{
 		Adapter:   true,
 		Demand:    demand,
+		Prompt:    replayPrompt,
 		Objective: replayObjective - now.Sub(begun),
 		Left:      replayTime - now.Sub(begun),
 		Turn:      turn,
--- a/sched/rounds.go
+++ b/sched/rounds.go
@@ -17,6 +17,10 @@
 	// widenTurns is after how many turns of asking in vain one more target may
 	// fetch the adapter.
 	widenTurns = 12
+	// idleChoices targets are asked first whether they are idle, which is to
+	// begin within idleSlack beside the reading of the prompt.
+	idleChoices = 3
+	idleSlack   = 60 * time.Millisecond
 	// eagerShare of the objective is what the first choices may take, and
 	// promptShare what any may take that counts as prompt.
 	eagerShare  = 0.35
@@ -46,6 +50,8 @@
 	// tokens a second are asked for with it over all instances.
 	Adapter bool
 	Demand  float64
+	// Prompt is how many tokens are to be read.
+	Prompt int64
 	// Objective is what is left of the time in which the first token counts as
 	// prompt, and Left how long the caller still waits.
 	Objective time.Duration
@@ -64,7 +70,8 @@
 	Fetch bool
 }
 
-// Rounds are the rounds of asking: first for a quick answer where the adapter is at
+// Rounds are the rounds of asking: first for an idle one among several homes of the
+// adapter, then for a quick answer where the adapter is at
 // hand, then for a prompt one, then for any. An adapter that is wanted often is
 // brought to further targets before those that hold it are busy, another one only
 // to the first target of its order.
@@ -72,12 +79,18 @@
 	eager := time.Duration(eagerShare * float64(w.Objective))
 	prompt := time.Duration(promptShare * float64(w.Objective))
 	late := time.Duration(lateShare * float64(w.Left))
-	rounds := []Round{
-		{
-			Choices: nearChoices,
-			Limit:   eager,
-		},
+	var rounds []Round
+	if homes := Homes(w.Demand); homes > 1 {
+		reading := time.Duration(float64(w.Prompt) / prefillRate * float64(time.Millisecond))
+		rounds = append(rounds, Round{
+			Choices: min(homes, idleChoices),
+			Limit:   min(reading+idleSlack, eager),
+		})
 	}
+	rounds = append(rounds, Round{
+		Choices: nearChoices,
+		Limit:   eager,
+	})
 	fetchers := fetchChoices + w.Turn/widenTurns
 	if !w.Adapter || w.Demand >= hotDemand {
 		fetchers = max(fetchers, nearChoices)
@@ -107,6 +120,13 @@
 	return max(int(math.Ceil(demand/(homeShare*prefillRate*1000))), 1)
 }
 
+// Outdated reports whether an asker that assumed so many homes should choose anew, now
+// that it is told the demand: an instance is asked for most adapters too seldom to
+// know it.
+func Outdated(assumed int, demand float64) bool {
+	return assumed > 0 && Homes(demand) >= 2*assumed
+}
+
 // Order arranges targets for one request, best first: its adapter's homes, which
 // are the first of the list, begin with another one for each request and turn, so
 // that they share the load; the further ones follow. The list is changed.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -167,6 +167,15 @@
 // Ask decides on a request. After Load the adapter counts as being ordered until
 // Loaded or LoadFailed.
 func (t *Target) Ask(now time.Time, a Ask) Decision {
+	d := t.decide(now, a)
+	if _, ok := d.(Wait); !ok {
+		// Whoever goes elsewhere holds nobody up.
+		delete(t.waiting, a.ID)
+	}
+	return d
+}
+
+func (t *Target) decide(now time.Time, a Ask) Decision {
 	t.expire(now)
 	if now.Before(t.suspectUntil) {
 		return Declined{
@@ -234,7 +243,6 @@
 		wait = true
 	}
 	if !wait {
-		delete(t.waiting, a.ID)
 		return false
 	}
 	if w, ok := t.waiting[a.ID]; ok {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -160,6 +160,24 @@
 	require.IsType(t, sched.Granted{}, s.Ask(now.Add(time.Second), late))
 }
 
+// An ask that has waited and is declined at last holds up nobody who came after it.
+func TestDeclinedWaiterIsForgotten(t *testing.T) {
+	s := target(4)
+	hold(t, s, start, "m/a")
+	now := start.Add(time.Second)
+	for i := range 3 {
+		s.Ask(now, ask(fmt.Sprint("run", i), "m/a"))
+	}
+	impatient := ask("impatient", "m/a")
+	require.IsType(t, sched.Wait{}, s.Ask(now, impatient))
+	impatient.Limit = time.Millisecond
+	require.IsType(t, sched.Declined{}, s.Ask(now, impatient))
+	for i := range 3 {
+		s.Note(now, sched.Note{ID: fmt.Sprint("run", i), Kind: sched.NoteFirst})
+	}
+	require.IsType(t, sched.Granted{}, s.Ask(now.Add(100*time.Millisecond), ask("next", "m/a")))
+}
+
 func TestColdTargetGetsItsRateOnly(t *testing.T) {
 	s := target(4)
 	hold(t, s, start, "m/a")
