--- a/tkit/layers_test.go
+++ b/tkit/layers_test.go
@@ -20,7 +20,7 @@
 	{"wire", "call"},
 	{"rest", "httpd", "plat", "peer", "engine", "mngr", "send", "share", "caller", "oper", "upst", "mgmt", "gate"},
 	{"node", "platform"},
-	{"entry", "standn", "demo", "trial", "tkit", "cmd"},
+	{"entry", "standn", "demo", "trial", "tkit", "soak", "cmd"},
 }
 
 func layerOf(name string) int {
