Requests for streams are not held longer than their callers wait; starting instances listen first

Change: patience is half, and giving up 0.7, of the time for which the caller waits; an instance that has just listed all waits as long for a reader as one that has lost it. Tests: sched.TestLeaves, feed.TestStartingInstanceListensFirst.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -195,6 +195,22 @@
 	require.Equal(t, 1, reading, "only the first one reads while it is heard")
 }
 
+// An instance that has just started does not read beside the readers before it could
+// have heard of one.
+func TestStartingInstanceListensFirst(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	readers := 0
+	for _, self := range []string{"a", "b", "c"} {
+		h := hub(self, "a", "b", "c")
+		h.begun = now
+		if h.mayRead(now.Add(100*time.Millisecond), 1) {
+			readers++
+		}
+		require.True(t, h.mayRead(now.Add(2*time.Second), 1))
+	}
+	require.Equal(t, 1, readers)
+}
+
 // A reader that has just not asked, or waits for changes, has no outage; one that the
 // store turns away or leaves without an answer has.
 func TestPauseIsNoOutage(t *testing.T) {
--- a/feed/hub.go
+++ b/feed/hub.go
@@ -75,7 +75,9 @@
 	Health *Health
 	Log    log.Logger
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// begun is when Run began, and heard when a reader was heard last.
+	begun time.Time
 	heard time.Time
 	// outage is when it was last not known what the store holds.
 	outage time.Time
@@ -88,6 +90,7 @@
 // Run follows all prefixes until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
 	h.mu.Lock()
+	h.begun = time.Now()
 	h.queue = make(chan Part, 256)
 	h.mu.Unlock()
 	var wg sync.WaitGroup
@@ -156,7 +159,9 @@
 	if rank > 0 && rank < readers {
 		return true
 	}
-	reading := rank == 0 || now.Sub(h.heard) > wait
+	// An instance that has just started has listed all, and may soon hear of a
+	// reader.
+	reading := rank == 0 || now.Sub(h.heard) > wait && now.Sub(h.begun) > wait
 	if reading != h.reading {
 		h.reading = reading
 		h.Log.Info().Bool("reading", reading).Int("rank", rank).Str("heard-from", h.from).Msg("feed: role changed")
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -10,6 +10,7 @@
 
 	"currantstile/call"
 	"currantstile/conf"
+	"currantstile/sched"
 	"currantstile/upst"
 )
 
@@ -73,6 +74,14 @@
 	body   []byte
 }
 
+// leaves is when the caller leaves if it has no answer, or no event of a stream.
+func (x *Exchange) leaves() time.Time {
+	if x.Route.Kind != conf.KindStream {
+		return x.Until
+	}
+	return sched.Leaves(x.begun, x.Until, x.Route.Objective, x.Route.MaxGap)
+}
+
 // maxLoading is how often a request goes back to a target whose adapter is late.
 const maxLoading = 4
 
--- a/gate/router.go
+++ b/gate/router.go
@@ -202,8 +202,9 @@
 // engine finds a target of a model service. While none has a place, it asks
 // again, up to a share of the request's time: places come free at any moment.
 func (r *Router) engine(ctx context.Context, x *Exchange, svc *conf.Service, view *roster.View, targets []*roster.Target) (*Place, string) {
-	patience := sched.Patience(x.begun, x.Until)
-	ctx, cancel := context.WithDeadline(ctx, sched.GiveUp(x.begun, x.Until))
+	leaves := x.leaves()
+	patience := sched.Patience(x.begun, leaves)
+	ctx, cancel := context.WithDeadline(ctx, sched.GiveUp(x.begun, leaves))
 	defer cancel()
 	for turn := 0; ; turn++ {
 		p, reason := r.engineOnce(ctx, x, svc, view, targets, turn, false)
@@ -233,7 +234,7 @@
 		Demand:    demand,
 		Prompt:    x.Call.PromptTokens,
 		Objective: x.Route.Objective - now.Sub(x.begun),
-		Left:      x.Until.Sub(now),
+		Left:      x.leaves().Sub(now),
 		Turn:      turn,
 	})
 	for _, round := range rounds {
--- a/sched/demand_test.go
+++ b/sched/demand_test.go
@@ -53,6 +53,51 @@
 	require.False(t, sched.Outdated(0, 230_000), "an ask that is not the first does not choose again")
 }
 
+// A request is not held for longer than its caller waits, which for streams is less
+// than the deadline.
+func TestLeaves(t *testing.T) {
+	tests := []struct {
+		name      string
+		until     time.Duration
+		objective time.Duration
+		pause     time.Duration
+		want      time.Duration
+	}{
+		{
+			name:      "by the objective",
+			until:     15 * time.Second,
+			objective: time.Second,
+			pause:     400 * time.Millisecond,
+			want:      4 * time.Second,
+		},
+		{
+			name:      "by the pause",
+			until:     15 * time.Second,
+			objective: 100 * time.Millisecond,
+			pause:     500 * time.Millisecond,
+			want:      4 * time.Second,
+		},
+		{
+			name:  "at least",
+			until: 15 * time.Second,
+			want:  2 * time.Second,
+		},
+		{
+			name:      "by the deadline",
+			until:     3 * time.Second,
+			objective: time.Second,
+			want:      3 * time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			leaves := sched.Leaves(start, start.Add(tt.until), tt.objective, tt.pause)
+			require.Equal(t, tt.want, leaves.Sub(start))
+			require.True(t, sched.GiveUp(start, leaves).Before(leaves))
+		})
+	}
+}
+
 func TestLongTargets(t *testing.T) {
 	require.Zero(t, sched.LongTargets(4), "a small fleet keeps none apart")
 	require.Equal(t, 2, sched.LongTargets(18))
--- a/sched/rounds.go
+++ b/sched/rounds.go
@@ -38,8 +38,14 @@
 	homeShare = 0.25
 	// placeShare of a request's time may pass until no target is asked any more,
 	// and giveUpShare until a question that is still open is given up.
-	placeShare  = 0.4
-	giveUpShare = 0.6
+	placeShare  = 0.5
+	giveUpShare = 0.7
+	// Callers leave a stream that is silent for leaveTime, leaveObjectives times
+	// its objective or leavePauses times its longest prompt pause, whichever is
+	// longest, also before its first event; from the platform's protocol.
+	leaveTime       = 2 * time.Second
+	leaveObjectives = 4
+	leavePauses     = 8
 	// AskPause is left between two turns of asking.
 	AskPause = 60 * time.Millisecond
 )
@@ -141,6 +147,16 @@
 	return targets
 }
 
+// Leaves is when the caller of a stream that has begun to wait leaves, if nothing
+// comes: by its deadline at the latest.
+func Leaves(begun, until time.Time, objective, pause time.Duration) time.Time {
+	leaves := begun.Add(max(leaveTime, leaveObjectives*objective, leavePauses*pause))
+	if leaves.Before(until) {
+		return leaves
+	}
+	return until
+}
+
 // GiveUp is when a request that has no place yet is refused, so that its caller has
 // time to come back.
 func GiveUp(begun, until time.Time) time.Time {
