Soak: instances have addresses of their own

Cause: seed 114 of fifty (100 to 149) failed: instance 0 never served. Its log names the cause: its peers' port, free when it was drawn, had been taken by another socket of the seeds that ran beside it. The other 49 seeds broke nothing. Change: each instance listens on an own loopback address with fixed ports. Test: seed 114 is a regression case; seeds 1 and 114 pass.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -46,6 +46,7 @@
 // fleet is what one seed runs.
 type fleet struct {
 	t       *testing.T
+	seed    uint64
 	program string
 	store   *standp.Store
 	engines []*standp.Worker
@@ -77,9 +78,10 @@
 	return p
 }
 
-func newFleet(t *testing.T, program, dir string) *fleet {
+func newFleet(t *testing.T, seed uint64, program, dir string) *fleet {
 	f := &fleet{
 		t:           t,
+		seed:        seed,
 		program:     program,
 		store:       standp.NewStore(t),
 		targetLinks: make(map[string]*toxiproxy.Proxy),
@@ -132,15 +134,16 @@
 	p := link(f.t, fmt.Sprint("store-", i), f.store.Addr().String())
 	f.storeLinks = append(f.storeLinks, p)
 	name := fmt.Sprint("entry-", i)
+	ip := ownAddr(f.seed, i)
 	n := &instance{
-		callers:  freeAddr(f.t),
+		callers:  netip.AddrPortFrom(ip, callersPort),
 		settings: filepath.Join(dir, name+".yaml"),
 	}
 	file := standp.SettingsFile(standp.InstanceSettings{
 		Name:      name,
 		Callers:   n.callers,
-		Readiness: freeAddr(f.t),
-		PeerPort:  freePair(f.t),
+		Readiness: netip.AddrPortFrom(ip, readinessPort),
+		PeerPort:  peerPort,
 		Store:     netip.MustParseAddrPort(p.Listen),
 		Grace:     grace,
 	})
@@ -152,17 +155,17 @@
 	f.start(n)
 }
 
-// freePair is the first of two neighbouring ports that are free.
-func freePair(t testing.TB) uint16 {
-	for range 100 {
-		a := freeAddr(t)
-		if ln, err := net.Listen("tcp", netip.AddrPortFrom(a.Addr(), a.Port()+1).String()); err == nil {
-			ln.Close()
-			return a.Port()
-		}
-	}
-	t.Fatal("no two neighbouring ports are free")
-	return 0
+// Ports of an instance on its own address.
+const (
+	callersPort = 7500 + iota
+	readinessPort
+	peerPort
+)
+
+// ownAddr is an address of the loopback network for one instance of one seed, on which
+// no other socket takes its ports.
+func ownAddr(seed uint64, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(1 + seed%250), byte(10 + i)})
 }
 
 // start starts an instance's process, and has it started again when it ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,7 +30,12 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{
+		seed:  114,
+		cause: "another socket had taken an instance's port: instances have addresses of their own now",
+	},
+}
 
 const (
 	callers = 6
@@ -74,7 +79,7 @@
 		require.NoError(t, os.MkdirAll(dir, 0o755))
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
-	f := newFleet(t, program, dir)
+	f := newFleet(t, seed, program, dir)
 	l := newLedger()
 	for _, w := range append(append([]*standp.Worker{}, f.engines...), f.apps...) {
 		w.SetServe(l.serve(rand.New(rand.NewPCG(seed, rng.Uint64()))))
