--- a/sched/rounds.go
+++ b/sched/rounds.go
@@ -77,10 +77,9 @@
 }
 
 // Rounds are the rounds of asking: first for an idle one among several homes of the
-// adapter, then for a quick answer where the adapter is at
-// hand, then for a prompt one, then for any. An adapter that is wanted often is
-// brought to further targets before those that hold it are busy, another one only
-// to the first target of its order.
+// adapter, then for a quick answer where the adapter is at hand, then for a prompt one,
+// then for any. An adapter that is wanted often is brought to further targets before
+// those that hold it are busy, another one only to the first target of its order.
 func Rounds(w Wish) []Round {
 	eager := time.Duration(eagerShare * float64(w.Objective))
 	prompt := time.Duration(promptShare * float64(w.Objective))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -14,6 +14,7 @@
 //	case sched.Granted: // send after d.After
 //	case sched.Load: // order d.Unload and d.Adapter, then t.Loaded or t.LoadFailed
 //	case sched.Fetch: // wait for a turn, then ask again with ask.Turn
+//	case sched.Wait: // ask again when something has been noted
 //	case sched.Busy: // an order for the same adapter is under way
 //	case sched.Declined: // try another target
 //	}
@@ -164,8 +165,8 @@
 	return len(t.grants)
 }
 
-// Ask decides on a request. After Load the adapter counts as being ordered until
-// Loaded or LoadFailed.
+// Ask decides on a request, and keeps its place in the line while it waits. After
+// Load the adapter counts as being ordered until Loaded or LoadFailed.
 func (t *Target) Ask(now time.Time, a Ask) Decision {
 	d := t.decide(now, a)
 	if _, ok := d.(Wait); !ok {
