A wrong key in a test differs from the right one

The test put an a in place of the key's last letter, which is an a in one of 32 keys (25 random bytes in base 32), so that the key was the right one. Ruled out: the check of keys (model.Key.Matches compares a hash of the whole text). Change: tkit.WrongKey takes another letter then. The check is as strict as before.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -65,7 +65,7 @@
 		},
 		{
 			name:   "wrong key",
-			key:    key[:len(key)-1] + "a",
+			key:    tkit.WrongKey(key),
 			r:      tkit.Completion(body(good, 4, false)),
 			status: 401,
 			code:   "wrong-key",
--- a/tkit/tkit.go
+++ b/tkit/tkit.go
@@ -106,3 +106,12 @@
 		Body:   []byte(body),
 	}
 }
+
+// WrongKey is a key that differs from one in its last letter, and is well formed.
+func WrongKey(key string) string {
+	const first, second = "a", "b"
+	if wrong := key[:len(key)-1] + first; wrong != key {
+		return wrong
+	}
+	return key[:len(key)-1] + second
+}
