Test of where long prompts go

Cause: the router's choice among the targets kept apart had no test of its own. Change: gate.TestLongPromptsGoToTheirOwnTargets: long prompts of an adapter with several homes and its other requests share no first target; with one home they share it. No product code changes.

--- /dev/null
+++ b/gate/order_test.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/call"
+	"currantstile/conf"
+	"currantstile/roster"
+	"currantstile/sched"
+)
+
+// The long prompts of an adapter with several homes begin at targets that its other
+// requests never get; an adapter with one home keeps it for all.
+func TestLongPromptsGoToTheirOwnTargets(t *testing.T) {
+	const n, homes = 40, 5
+	svc := &conf.Service{
+		Engine: &conf.Engine{
+			EventTokens: 3,
+		},
+	}
+	var targets []*roster.Target
+	for i := range n {
+		targets = append(targets, &roster.Target{
+			ID: fmt.Sprint("t", i),
+		})
+	}
+	first := func(id string, prompt int64, homes int) string {
+		list, _ := (&Router{}).order(&Exchange{
+			Call: &call.Call{
+				ID:           id,
+				Adapter:      "a1",
+				PromptTokens: prompt,
+			},
+		}, svc, targets, homes, 0)
+		return list[0].ID
+	}
+	long, short := map[string]bool{}, map[string]bool{}
+	for i := range 200 {
+		id := fmt.Sprint("r", i)
+		long[first(id, 7000, homes)] = true
+		short[first(id, 2000, homes)] = true
+		require.Equal(t, first(id, 2000, 1), first(id, 7000, 1))
+	}
+	require.Len(t, short, homes)
+	require.Len(t, long, sched.LongTargets(n))
+	for id := range long {
+		require.NotContains(t, short, id)
+	}
+}
