--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,6 +92,7 @@
 	targets       map[string]*Target
 	services      map[string][]*Target
 	instances     []Instance
+	zones         map[netip.AddrPort]string
 	disabledZones map[string]bool
 	versions      map[string]uint64
 }
@@ -128,6 +129,12 @@
 	return Instance{}, false
 }
 
+// ZoneOf returns the data centre of the instance with the given peer address, or "" if
+// there is none.
+func (v *View) ZoneOf(peers netip.AddrPort) string {
+	return v.zones[peers]
+}
+
 // Manager returns a target's manager.
 func (v *View) Manager(target string) (Manager, bool) {
 	m, ok := v.managers[target]
@@ -262,6 +269,7 @@
 	v := &View{
 		targets:       make(map[string]*Target, len(r.targets)),
 		services:      make(map[string][]*Target),
+		zones:         make(map[netip.AddrPort]string, len(r.instances)),
 		disabledZones: make(map[string]bool, len(r.disabledZones)),
 		versions:      make(map[string]uint64, len(r.versions)),
 		managers:      make(map[string]Manager, len(r.managers)),
@@ -277,6 +285,7 @@
 	}
 	for _, i := range r.instances {
 		v.instances = append(v.instances, i)
+		v.zones[i.Peers] = i.Zone
 	}
 	sort.Slice(v.instances, func(i, j int) bool {
 		return v.instances[i].Name < v.instances[j].Name
--- a/memkv/memkv.go
+++ b/memkv/memkv.go
@@ -27,6 +27,8 @@
 	mu       sync.Mutex
 	revision store.Revision
 	entries  map[string]store.Entry
+	// deleted is the revision of each key's last deletion.
+	deleted map[string]store.Revision
 }
 
 var _ store.KV = (*Store)(nil)
@@ -102,20 +104,39 @@
 	}
 	m.revision++
 	delete(m.entries, key)
+	if m.deleted == nil {
+		m.deleted = make(map[string]store.Revision)
+	}
+	m.deleted[key] = m.revision
 	return nil
 }
 
-// Watch implements store.KV. It never waits and does not report deletions.
-func (m *Store) Watch(ctx context.Context, prefix string, after store.Revision, _ time.Duration) (store.Batch, error) {
-	b, err := m.List(ctx, prefix)
-	var changed store.Entries
-	for _, e := range b.Entries {
-		if e.Revision > after {
-			changed = append(changed, e)
+// Watch implements store.KV. It never waits, and reports the last write or deletion of
+// each key.
+func (m *Store) Watch(_ context.Context, prefix string, after store.Revision, _ time.Duration) (store.Batch, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := store.Batch{
+		Revision: m.revision,
+	}
+	for k, e := range m.entries {
+		if strings.HasPrefix(k, prefix) && e.Revision > after {
+			b.Entries = append(b.Entries, e)
+		}
+	}
+	for k, at := range m.deleted {
+		if _, exists := m.entries[k]; !exists && strings.HasPrefix(k, prefix) && at > after {
+			b.Entries = append(b.Entries, store.Entry{
+				Key:      k,
+				Revision: at,
+				Deleted:  true,
+			})
 		}
 	}
-	b.Entries = changed
-	return b, err
+	sort.Slice(b.Entries, func(i, j int) bool {
+		return b.Entries[i].Revision < b.Entries[j].Revision
+	})
+	return b, nil
 }
 
 // Grant implements store.KV.
@@ -140,4 +161,5 @@
 	defer m.mu.Unlock()
 	m.revision = 0
 	m.entries = nil
+	m.deleted = nil
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/metric"
+	"currantstile/peer"
 	"currantstile/proxy"
 )
 
@@ -23,6 +24,10 @@
 	gauges   *expvar.Map
 	// storeCalls counts store calls by name and outcome.
 	storeCalls *expvar.Map
+	// peerCalls and peerBytes count the calls to other instances and their traffic by
+	// method and data centre.
+	peerCalls *expvar.Map
+	peerBytes *expvar.Map
 
 	mu        sync.Mutex
 	firstByte map[string]*metric.Histogram
@@ -37,6 +42,8 @@
 		gauges:   new(expvar.Map).Init(),
 
 		storeCalls: new(expvar.Map).Init(),
+		peerCalls:  new(expvar.Map).Init(),
+		peerBytes:  new(expvar.Map).Init(),
 		firstByte:  make(map[string]*metric.Histogram),
 	}
 }
@@ -78,6 +85,37 @@
 	line.Msg("node: store calls since start")
 }
 
+// recordPeerTransfer counts the traffic of a call to another instance; local is set if
+// the instance is in the same data centre.
+func (m *metrics) recordPeerTransfer(t peer.Transfer, local bool) {
+	zone := "other"
+	if local {
+		zone = "same"
+	}
+	if t.Request {
+		m.peerCalls.Add(fmt.Sprintf("method=%q,data_centre=%q", t.Method, zone), 1)
+	}
+	direction := "received"
+	if t.Request {
+		direction = "sent"
+	}
+	m.peerBytes.Add(fmt.Sprintf("method=%q,data_centre=%q,direction=%q", t.Method, zone, direction), t.Bytes)
+}
+
+// logPeerCalls logs the total calls to other instances and their bytes.
+func (m *metrics) logPeerCalls(l *log.Logger) {
+	line := l.Info()
+	for suffix, counts := range map[string]*expvar.Map{
+		" calls": m.peerCalls,
+		" bytes": m.peerBytes,
+	} {
+		counts.Do(func(kv expvar.KeyValue) {
+			line.Str(strings.ReplaceAll(kv.Key, `"`, "")+suffix, kv.Value.String())
+		})
+	}
+	line.Msg("node: calls to other instances since start")
+}
+
 // updateGauges sets the gauges to the current state of n. limits_part is the usable
 // share of the limits, from 0 to 1.
 func (m *metrics) updateGauges(n *Node) {
@@ -111,6 +149,12 @@
 	m.storeCalls.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(&b, "currantstile_store_calls_total{call=%q} %s\n", kv.Key, kv.Value)
 	})
+	m.peerCalls.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&b, "currantstile_peer_calls_total{%s} %s\n", kv.Key, kv.Value)
+	})
+	m.peerBytes.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&b, "currantstile_peer_bytes_total{%s} %s\n", kv.Key, kv.Value)
+	})
 	m.mu.Lock()
 	routes := make([]string, 0, len(m.firstByte))
 	for r := range m.firstByte {
--- a/node/node.go
+++ b/node/node.go
@@ -114,8 +114,10 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(n.Settings.MemoryBytes)))
 	n.pendingRemovals = make(map[string]time.Time)
 	n.registry = fleet.NewRegistry()
-	n.pool = &peer.Pool{}
 	n.metrics = newMetrics()
+	n.pool = &peer.Pool{
+		Observe: n.observePeerTransfer,
+	}
 	n.KV = &store.Instrumented{
 		KV:      n.KV,
 		Observe: n.metrics.recordStoreCall,
@@ -219,11 +221,17 @@
 	operatorFollower.Readers = operatorReaders
 	n.hub = &watch.Hub{
 		Self:      n.Settings.Name,
+		Zone:      n.Settings.Zone,
 		Followers: []*watch.Follower{operatorFollower, targetFollower, n.instanceFollower},
 		Peers:     n.feedPeers,
 		Send: func(ctx context.Context, to watch.Peer, m watch.Message) error {
 			return n.pool.Call(ctx, to.Addr, wire.MethodPush, m, &wire.Empty{})
 		},
+		Fetch: func(ctx context.Context, from watch.Peer, args watch.ChangesArgs) (watch.ChangesReply, error) {
+			var reply watch.ChangesReply
+			err := n.pool.Call(ctx, from.Addr, wire.MethodChanges, args, &reply)
+			return reply, err
+		},
 		Health: &n.health,
 		Log:    n.Log,
 	}
@@ -246,12 +254,19 @@
 	for _, i := range instances {
 		peers = append(peers, watch.Peer{
 			Name: i.Name,
+			Zone: i.Zone,
 			Addr: i.Peers,
 		})
 	}
 	return peers
 }
 
+// observePeerTransfer counts the traffic of a call to another instance. Instances that are
+// not known count as being in another data centre.
+func (n *Node) observePeerTransfer(t peer.Transfer) {
+	n.metrics.recordPeerTransfer(t, n.registry.View().ZoneOf(t.Addr) == n.Settings.Zone)
+}
+
 // FeedService exposes the hub through methods with the signatures that net/rpc
 // requires.
 type FeedService struct {
@@ -264,6 +279,12 @@
 	return nil
 }
 
+// Changes serves wire.MethodChanges.
+func (s *FeedService) Changes(args watch.ChangesArgs, reply *watch.ChangesReply) error {
+	*reply = s.hub.Changes(args)
+	return nil
+}
+
 func (n *Node) listen() error {
 	if err := n.peers.Start(); err != nil {
 		return err
@@ -334,6 +355,7 @@
 		if now.Sub(lastLog) >= storeLogInterval {
 			lastLog = now
 			n.metrics.logStoreCalls(&n.Log)
+			n.metrics.logPeerCalls(&n.Log)
 		}
 	}
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -40,6 +40,9 @@
 	// Secret is the fleet's secret, with which each connection is
 	// authenticated; empty disables authentication.
 	Secret string
+	// Observe is called with the traffic of each call, for metrics. It must be safe for
+	// concurrent use; nil observes nothing.
+	Observe func(Transfer)
 
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*peerConn
@@ -91,7 +94,7 @@
 	if err != nil {
 		return errs.WithPeer(err, method, addr)
 	}
-	client, err := c.connect(ctx, addr, p.Secret)
+	client, err := c.connect(ctx, addr, p)
 	if err != nil {
 		return errs.WithPeer(errors.Wrap(ErrNotSent, err.Error()), method, addr)
 	}
@@ -127,7 +130,7 @@
 // connect returns the client of the connection, and dials it if there is none.
 // Dialling continues after ctx has ended, so that later calls can use the
 // connection: many peers that start at once slow down each other's dialling.
-func (c *peerConn) connect(ctx context.Context, addr netip.AddrPort, secret string) (*rpc.Client, error) {
+func (c *peerConn) connect(ctx context.Context, addr netip.AddrPort, p *Pool) (*rpc.Client, error) {
 	c.mu.Lock()
 	if c.client != nil {
 		defer c.mu.Unlock()
@@ -139,7 +142,7 @@
 			done: make(chan struct{}),
 		}
 		c.pending = d
-		go c.dial(d, addr, secret)
+		go c.dial(d, addr, p)
 	}
 	c.mu.Unlock()
 	select {
@@ -151,10 +154,10 @@
 }
 
 // dial opens and authenticates the connection and wakes the callers that wait for it.
-func (c *peerConn) dial(d *pendingDial, addr netip.AddrPort, secret string) {
+func (c *peerConn) dial(d *pendingDial, addr netip.AddrPort, p *Pool) {
 	nc, err := net.DialTimeout("tcp", addr.String(), dialTimeout)
 	if err == nil {
-		if err = authenticate(nc, secret, roleClient); err != nil {
+		if err = authenticate(nc, p.Secret, roleClient); err != nil {
 			// The connection is unusable, and err has the cause.
 			_ = nc.Close()
 		}
@@ -163,12 +166,20 @@
 	defer c.mu.Unlock()
 	c.pending = nil
 	if d.err = err; err == nil {
-		d.client = rpc.NewClient(nc)
+		d.client = p.newClient(addr, nc)
 		c.client = d.client
 	}
 	close(d.done)
 }
 
+// newClient returns a client on a connection that has been authenticated.
+func (p *Pool) newClient(addr netip.AddrPort, conn net.Conn) *rpc.Client {
+	if p.Observe == nil {
+		return rpc.NewClient(conn)
+	}
+	return rpc.NewClientWithCodec(newClientCodec(addr, conn, p.Observe))
+}
+
 // dropOnFailure closes and removes a connection that failed with err. Errors
 // returned by the peer itself do not affect the connection.
 func (c *peerConn) dropOnFailure(client *rpc.Client, err error) {
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -59,23 +59,40 @@
 	Calm time.Duration
 	// Parts are the updates, or the positions of all listed prefixes in a ping.
 	Parts []PrefixUpdate
+	// Path lists the instances through which the message came, the store reader first,
+	// and Within the instances to which the receiver passes it on.
+	Path   []string
+	Within Range
+}
+
+// sender returns the instance from which the receiver has the message.
+func (m *Message) sender() string {
+	if len(m.Path) == 0 {
+		return m.From
+	}
+	return m.Path[len(m.Path)-1]
 }
 
 // Peer identifies an instance of the fleet and its address.
 type Peer struct {
 	Name string
+	Zone string
 	Addr netip.AddrPort
 }
 
 // Hub decides which instances read the store, and exchanges changes between
 // instances. Its exported fields must be set before Run.
 type Hub struct {
-	Self      string
+	Self string
+	// Zone is this instance's data centre.
+	Zone      string
 	Followers []*Follower
 	// Peers returns all known instances, including this one if it is registered.
 	Peers func() []Peer
 	// Send delivers a message to another instance.
-	Send   func(ctx context.Context, to Peer, m Message) error
+	Send func(ctx context.Context, to Peer, m Message) error
+	// Fetch asks another instance for changes that this one has missed.
+	Fetch  func(ctx context.Context, from Peer, args ChangesArgs) (ChangesReply, error)
 	Health *Health
 	Log    log.Logger
 
@@ -90,12 +107,19 @@
 	lastReader string
 	reading    bool
 	queue      chan PrefixUpdate
+	// ctx is that of Run.
+	ctx context.Context
+	// suspectedUntil and cutOffUntil are until when instances and data centres that did
+	// not confirm a message count as unreachable.
+	suspectedUntil map[string]time.Time
+	cutOffUntil    map[string]time.Time
 }
 
 // Run follows all prefixes until ctx is done.
 func (h *Hub) Run(ctx context.Context) {
 	h.mu.Lock()
 	h.startedAt = time.Now()
+	h.ctx = ctx
 	h.queue = make(chan PrefixUpdate, 256)
 	h.mu.Unlock()
 	var wg sync.WaitGroup
@@ -111,6 +135,9 @@
 	wg.Go(func() {
 		h.monitorOutages(ctx)
 	})
+	wg.Go(func() {
+		h.fillGaps(ctx)
+	})
 	wg.Wait()
 }
 
@@ -270,23 +297,6 @@
 	return m
 }
 
-// broadcast sends a message to all other instances without waiting for the deliveries.
-func (h *Hub) broadcast(ctx context.Context, m Message) {
-	m.Calm = time.Since(h.LastOutage())
-	for _, p := range h.Peers() {
-		if p.Name == h.Self {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-			defer cancel()
-			if err := h.Send(ctx, p, m); err != nil {
-				h.Log.Debug().Err(err).Str("instance", p.Name).Msg("feed: sending a message to an instance failed")
-			}
-		}()
-	}
-}
-
 // Receive applies a message of a store reader.
 func (h *Hub) Receive(now time.Time, m Message) {
 	h.mu.Lock()
@@ -303,10 +313,11 @@
 	for _, p := range m.Parts {
 		for _, f := range h.Followers {
 			if f.Prefix == p.Prefix {
-				f.receive(p)
+				f.receive(now, p, m.sender())
 			}
 		}
 	}
+	go h.passOn(m)
 }
 
 // readerTimeout is the maximum time since the last message of a store reader.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -76,6 +76,15 @@
 	changeRevision store.Revision
 	// missedChange is true after a missed change, which has to be read from the store.
 	missedChange bool
+	// missing is set while changes are missing that other instances have, and held are
+	// the updates that cannot be applied before them.
+	missing *gap
+	held    []PrefixUpdate
+	// changedAt is the revision of the last change of each key that Same did not filter,
+	// and deletions that of each deletion after deletionsFrom.
+	changedAt     map[string]store.Revision
+	deletions     map[string]store.Revision
+	deletionsFrom store.Revision
 }
 
 // Listed reports whether the prefix has been listed completely.
@@ -178,7 +187,12 @@
 	changed := f.apply(entries)
 	f.revision = max(f.revision, upTo)
 	f.missedChange = false
+	if listed {
+		// Keys that were deleted before the listing are not known.
+		f.deletionsFrom = max(f.deletionsFrom, upTo)
+	}
 	f.listed = f.listed || listed
+	f.applyHeld()
 	if len(changed) == 0 && !listed {
 		return
 	}
@@ -205,7 +219,13 @@
 	var changed store.Entries
 	for _, e := range entries {
 		old, ok := f.entries[e.Key]
-		if !strings.HasPrefix(e.Key, f.Prefix) || ok && e.Revision <= old.Revision || !ok && e.Deleted {
+		if !strings.HasPrefix(e.Key, f.Prefix) || ok && e.Revision <= old.Revision || f.deletions[e.Key] >= e.Revision {
+			continue
+		}
+		if !ok && e.Deleted {
+			// Another instance may know the key, so the deletion is passed on.
+			f.recordChange(e)
+			changed = append(changed, e)
 			continue
 		}
 		if e.Deleted {
@@ -216,6 +236,7 @@
 		if ok && !e.Deleted && f.Same != nil && f.Same(old.Value, e.Value) {
 			continue
 		}
+		f.recordChange(e)
 		changed = append(changed, e)
 		changes = append(changes, Change{
 			Entry: e,
@@ -227,20 +248,21 @@
 	return changed
 }
 
-// receive applies an update from a store reader. It returns false if a change was
-// missed, which has to be read from the store.
-func (f *Follower) receive(p PrefixUpdate) bool {
+// receive applies an update that the given instance sent. It returns false if changes
+// before it are missing; the update is then held back until they arrive.
+func (f *Follower) receive(now time.Time, p PrefixUpdate, source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || p.Before > f.revision {
+	switch {
+	case !f.listed:
 		f.missedChange = true
 		return false
+	case p.Before > f.revision:
+		f.holdUpdate(now, p, source)
+		return false
 	}
-	f.apply(p.Entries)
-	f.revision = max(f.revision, p.UpTo)
-	if len(p.Entries) > 0 {
-		f.changeRevision = max(f.changeRevision, p.UpTo)
-	}
+	f.applyUpdate(p)
+	f.applyHeld()
 	return true
 }
 
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -54,4 +54,6 @@
 	// ServiceFeed is the name under which the methods are registered with net/rpc.
 	ServiceFeed = "Feed"
 	MethodPush  = "Feed.Push"
+	// MethodChanges asks for changes that were missed.
+	MethodChanges = "Feed.Changes"
 )
