--- a/elect/session.go
+++ b/elect/session.go
@@ -41,10 +41,15 @@
 
 	// stepInterval is the interval between checks of the lease and the targets.
 	stepInterval = 200 * time.Millisecond
-	// retryDelay is the pause after a failed call to the store.
-	retryDelay = 500 * time.Millisecond
-	// renewalsPerLease is the number of renewals within one lease time.
-	renewalsPerLease = 3
+	// retryDelay is the pause after a failed call to the store, and renewRetryDelay that
+	// after a failed renewal.
+	retryDelay      = 500 * time.Millisecond
+	renewRetryDelay = 200 * time.Millisecond
+	// renewalsPerLease is the number of renewals within one lease time. A renewal that
+	// fails is repeated within the lease time, so few are needed; each is billed.
+	renewalsPerLease = 2
+	// renewTimeout limits one renewal, so that there is time for another one.
+	renewTimeout = 500 * time.Millisecond
 	// leaseMargin covers the latency of a renewal and clock drift.
 	leaseMargin = 200 * time.Millisecond
 	// discoveryTime is how long a new instance waits for others to register before it
@@ -187,20 +192,7 @@
 		s.Log.Error().Err(err).Msg("lead: cannot encode instance record")
 		return
 	}
-	key := instancePrefix + s.Self.Name
-	expect := store.Revision(0)
-	if e, err := s.KV.Get(ctx, key); err == nil {
-		expect = e.Revision
-	} else if !errors.Is(err, store.ErrNotFound) {
-		s.recordFailure(err, "cannot read the instance's own key; trying again later")
-		return
-	}
-	if _, err := s.KV.Put(ctx, store.Write{
-		Key:    key,
-		Value:  value,
-		Expect: expect,
-		Lease:  lease,
-	}); err != nil {
+	if err := s.writeInstance(ctx, lease, value); err != nil {
 		s.recordFailure(err, "cannot write the instance's own key; trying again later")
 		return
 	}
@@ -211,6 +203,23 @@
 	s.Log.Info().Str("lease", string(lease)).Msg("lead: instance registered")
 }
 
+// writeInstance writes the instance's key under its lease. The key of an earlier process
+// on this instance is replaced.
+func (s *Session) writeInstance(ctx context.Context, lease store.LeaseID, value []byte) error {
+	w := store.Write{
+		Key:   instancePrefix + s.Self.Name,
+		Value: value,
+		Lease: lease,
+	}
+	_, err := s.KV.Put(ctx, w)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		w.Expect = conflict.Current
+		_, err = s.KV.Put(ctx, w)
+	}
+	return err
+}
+
 // recordFailure logs a failed call to the store and delays the next one by retryDelay.
 func (s *Session) recordFailure(err error, msg string) {
 	now := time.Now()
@@ -224,7 +233,9 @@
 // renew renews the lease, and registers the instance again if the lease has expired.
 func (s *Session) renew(ctx context.Context, lease store.LeaseID) {
 	sent := time.Now()
-	err := s.KV.Renew(ctx, lease)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	err := s.KV.Renew(callCtx, lease)
+	cancel()
 	switch {
 	case err == nil:
 		s.Health.RecordSuccess(time.Now())
@@ -240,6 +251,9 @@
 		s.register(ctx)
 	default:
 		s.recordFailure(err, "lease not renewed; trying again later")
+		s.mu.Lock()
+		s.retryAt = sent.Add(renewTimeout + renewRetryDelay)
+		s.mu.Unlock()
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,9 @@
 	maintenanceInterval = 250 * time.Millisecond
 	// storeLogInterval is how often the total numbers of store calls are logged.
 	storeLogInterval = 10 * time.Second
+	// maxRegistrationWait is how long the listing of the other instances waits for this
+	// one's registration.
+	maxRegistrationWait = 2 * time.Second
 	// operatorReaders is the number of instances that watch the operator's keys,
 	// which change seldom.
 	operatorReaders = 2
@@ -219,11 +222,20 @@
 	targetFollower.WatchDelay = targetsBatchDelay
 	operatorFollower := n.follower(operators, n.applyOperator)
 	operatorFollower.Readers = operatorReaders
+	// An instance that lists the others after its own registration sees all that have
+	// registered before it, so that few instances of a starting fleet take themselves for
+	// the store reader.
+	n.instanceFollower.Deferred = func() bool {
+		return !n.session.Registered() && time.Since(n.started) < maxRegistrationWait
+	}
 	n.hub = &watch.Hub{
 		Self:      n.Settings.Name,
 		Zone:      n.Settings.Zone,
 		Followers: []*watch.Follower{operatorFollower, targetFollower, n.instanceFollower},
 		Peers:     n.feedPeers,
+		Joined: func() bool {
+			return n.session.Registered() && n.instanceFollower.ListedOnce() || time.Since(n.started) >= maxRegistrationWait
+		},
 		Send: func(ctx context.Context, to watch.Peer, m watch.Message) error {
 			return n.pool.Call(ctx, to.Addr, wire.MethodPush, m, &wire.Empty{})
 		},
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -35,6 +35,9 @@
 	storeTimeout = 1800 * time.Millisecond
 	// roleCheckInterval is how often an instance checks whether it has to read the store.
 	roleCheckInterval = 100 * time.Millisecond
+	// deferralInterval is how often an instance checks whether a deferred listing may
+	// begin.
+	deferralInterval = 20 * time.Millisecond
 	// sendTimeout limits the delivery of one message to another instance.
 	sendTimeout = 400 * time.Millisecond
 )
@@ -89,6 +92,10 @@
 	Followers []*Follower
 	// Peers returns all known instances, including this one if it is registered.
 	Peers func() []Peer
+	// Joined reports whether this instance is registered and has listed the others since.
+	// Before that it is no designated reader, because it does not know its rank. Nil means
+	// that it has joined.
+	Joined func() bool
 	// Send delivers a message to another instance.
 	Send func(ctx context.Context, to Peer, m Message) error
 	// Fetch asks another instance for changes that this one has missed.
@@ -175,6 +182,10 @@
 func (h *Hub) follow(ctx context.Context, f *Follower) {
 	for ctx.Err() == nil {
 		now := time.Now()
+		if f.Deferred != nil && !f.Listed() && f.Deferred() {
+			clock.Sleep(ctx, deferralInterval)
+			continue
+		}
 		if !h.mayRead(now, f.Readers) && !f.needsStore() || !h.Health.AllowCall(now) {
 			clock.Sleep(ctx, roleCheckInterval)
 			continue
@@ -207,6 +218,9 @@
 // rank returns this instance's position in the order of store readers, or maxRank if
 // it is not a designated reader.
 func (h *Hub) rank() int {
+	if h.Joined != nil && !h.Joined() {
+		return maxRank
+	}
 	peers := h.Peers()
 	order := route.TopBy("reader", peers, func(p *Peer) string {
 		return p.Name
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -18,6 +18,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -61,11 +62,16 @@
 	Readers int
 	// Health records the result of each call; it may be nil.
 	Health *Health
-	Log    log.Logger
+	// Deferred reports whether the first listing has to wait; nil means that it has not.
+	Deferred func() bool
+	Log      log.Logger
 
 	hub        *Hub
 	retryDelay time.Duration
 
+	// listedOnce is set by the first listing. Unlike Listed it is read without mu.
+	listedOnce atomic.Bool
+
 	mu      sync.Mutex
 	entries map[string]store.Entry
 	// listed is true from the first listing until the store has compacted the history.
@@ -94,6 +100,12 @@
 	return f.listed
 }
 
+// ListedOnce reports whether the prefix has ever been listed completely. Unlike Listed it
+// may be called from Apply and from the functions of a Hub.
+func (f *Follower) ListedOnce() bool {
+	return f.listedOnce.Load()
+}
+
 // Lookup returns the last known entry of a key.
 func (f *Follower) Lookup(key string) (store.Entry, bool) {
 	f.mu.Lock()
@@ -192,6 +204,9 @@
 		f.deletionsFrom = max(f.deletionsFrom, upTo)
 	}
 	f.listed = f.listed || listed
+	if listed {
+		f.listedOnce.Store(true)
+	}
 	f.applyHeld()
 	if len(changed) == 0 && !listed {
 		return
