--- a/elect/session.go
+++ b/elect/session.go
@@ -71,6 +71,9 @@
 	Zone    string `json:"data-centre"`
 	Peers   string `json:"peers"`
 	Started int64  `json:"started"`
+	// Cores and LinkMbit are omitted if unknown, as in records of earlier versions.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbit float64 `json:"link-mbit,omitempty"`
 }
 
 // managerValue is the value of a target's manager key.
@@ -148,7 +151,8 @@
 	s.checkSuspension(now)
 	s.mu.Lock()
 	lease, due := s.lease, now.Sub(s.renewedAt) >= s.LeaseTime/renewalsPerLease
-	backingOff := now.Before(s.retryAt)
+	// Once another call has succeeded there is no reason to wait longer.
+	backingOff := now.Before(s.retryAt) && s.Health.Unavailable()
 	s.mu.Unlock()
 	switch {
 	case backingOff || lease != "" && !due || !s.Health.AllowCall(now):
@@ -184,9 +188,11 @@
 	}
 	s.Health.RecordSuccess(time.Now())
 	value, err := json.Marshal(instanceValue{
-		Zone:    s.Self.Zone,
-		Peers:   s.Self.Peers.String(),
-		Started: s.Self.Started,
+		Zone:     s.Self.Zone,
+		Peers:    s.Self.Peers.String(),
+		Started:  s.Self.Started,
+		Cores:    s.Self.Cores,
+		LinkMbit: s.Self.LinkMbit,
 	})
 	if err != nil {
 		s.Log.Error().Err(err).Msg("lead: cannot encode instance record")
@@ -293,10 +299,12 @@
 		return
 	}
 	s.Registry.SetInstance(fleet.Instance{
-		Name:    name,
-		Zone:    v.Zone,
-		Peers:   peers,
-		Started: v.Started,
+		Name:     name,
+		Zone:     v.Zone,
+		Peers:    peers,
+		Started:  v.Started,
+		Cores:    v.Cores,
+		LinkMbit: v.LinkMbit,
 	})
 }
 
@@ -331,15 +339,10 @@
 }
 
 // preferredManager returns the instance that should manage a target without a manager:
-// the first in the target's order of instances.
+// the first in the target's order of instances, each of which gets a share of the targets
+// in proportion to its cores.
 func preferredManager(target string, instances []fleet.Instance) (fleet.Instance, bool) {
-	list := route.TopBy(target, instances, func(i *fleet.Instance) string {
-		return i.Name
-	}, 1, func(*fleet.Instance) bool {
-		return true
+	return route.Weighted(target, instances, func(i *fleet.Instance) (string, float64) {
+		return i.Name, i.Cores
 	})
-	if len(list) == 0 {
-		return fleet.Instance{}, false
-	}
-	return list[0], true
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,6 +76,10 @@
 	Peers netip.AddrPort
 	// Started is the start time of the process in Unix milliseconds.
 	Started int64
+	// Cores is the processor time that the instance may use per second, and LinkMbit the
+	// bandwidth of its link in Mbit/s. Zero means unknown.
+	Cores    float64
+	LinkMbit float64
 }
 
 // Manager is the instance that may send orders to a target.
--- a/node/node.go
+++ b/node/node.go
@@ -146,10 +146,12 @@
 	s := n.Settings
 	n.session = &elect.Session{
 		Self: fleet.Instance{
-			Name:    s.Name,
-			Zone:    s.Zone,
-			Peers:   s.Peers,
-			Started: n.started.UnixMilli(),
+			Name:     s.Name,
+			Zone:     s.Zone,
+			Peers:    s.Peers,
+			Started:  n.started.UnixMilli(),
+			Cores:    s.Cores,
+			LinkMbit: s.LinkMbit,
 		},
 		KV:              n.KV,
 		Registry:        n.registry,
@@ -228,6 +230,7 @@
 	n.instanceFollower.Deferred = func() bool {
 		return !n.session.Registered() && time.Since(n.started) < maxRegistrationWait
 	}
+	n.health.SetStarting(true)
 	n.hub = &watch.Hub{
 		Self:      n.Settings.Name,
 		Zone:      n.Settings.Zone,
@@ -265,9 +268,10 @@
 	peers := make([]watch.Peer, 0, len(instances))
 	for _, i := range instances {
 		peers = append(peers, watch.Peer{
-			Name: i.Name,
-			Zone: i.Zone,
-			Addr: i.Peers,
+			Name:     i.Name,
+			Zone:     i.Zone,
+			Addr:     i.Peers,
+			LinkMbit: i.LinkMbit,
 		})
 	}
 	return peers
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,6 +23,10 @@
 	Store netip.AddrPort
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// Cores is the processor time that the process may use per second, and LinkMbit the
+	// bandwidth of the machine's link in Mbit/s. Zero means unknown.
+	Cores    float64
+	LinkMbit float64
 	// Grace is how long the process may still run after it was asked to stop.
 	Grace time.Duration
 	// LeaseTime is how long an instance counts as alive after it last renewed its
--- a/route/rendezvous.go
+++ b/route/rendezvous.go
@@ -13,6 +13,8 @@
 package route
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"currantstile/model"
@@ -92,3 +94,24 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Weighted returns the first item in a weighted rendezvous order of a key: over many keys
+// each item is first in proportion to its weight. describe returns an item's identifier
+// and its weight; a weight that is not positive counts as 1. Weighted reports false if
+// there are no items.
+func Weighted[T any](key string, items []T, describe func(*T) (string, float64)) (T, bool) {
+	var best T
+	lowest := math.Inf(1)
+	h := xxhash.Sum64String(key)
+	for i := range items {
+		id, weight := describe(&items[i])
+		if weight <= 0 {
+			weight = 1
+		}
+		uniform := (float64(score(h, id)) + 1) / (math.MaxUint64 + 1.0)
+		if cost := -math.Log(uniform) / weight; cost < lowest {
+			best, lowest = items[i], cost
+		}
+	}
+	return best, len(items) > 0
+}
--- a/route/rendezvous_test.go
+++ b/route/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -100,3 +101,38 @@
 		})
 	}
 }
+
+// Guards against small instances managing as much as large ones: over many keys an item
+// is first in proportion to its weight, and removing an item moves only its own keys.
+func TestWeightedFollowsWeights(t *testing.T) {
+	type item struct {
+		id     string
+		weight float64
+	}
+	items := []item{
+		{id: "small-1", weight: 0.2},
+		{id: "small-2", weight: 0.2},
+		{id: "large", weight: 0.8},
+	}
+	describe := func(i *item) (string, float64) {
+		return i.id, i.weight
+	}
+	const keys = 12000
+	counts := make(map[string]float64)
+	for k := range keys {
+		key := strconv.Itoa(k)
+		first, ok := Weighted(key, items, describe)
+		require.True(t, ok)
+		counts[first.id]++
+		if first.id == "large" {
+			continue
+		}
+		again, _ := Weighted(key, []item{first, items[2]}, describe)
+		require.Equal(t, first.id, again.id)
+	}
+	for _, i := range items {
+		require.InEpsilon(t, keys*i.weight/1.2, counts[i.id], 0.08, i.id)
+	}
+	_, ok := Weighted("k", []item{}, describe)
+	require.False(t, ok)
+}
--- a/watch/health.go
+++ b/watch/health.go
@@ -17,6 +17,9 @@
 	minProbeInterval      = 100 * time.Millisecond
 	maxProbeInterval      = 800 * time.Millisecond
 	listenerProbeInterval = 2400 * time.Millisecond
+	// startProbeInterval replaces maxProbeInterval on an instance that has not joined the
+	// fleet and cannot serve before the store is back.
+	startProbeInterval = 300 * time.Millisecond
 	// maxFailures caps the count of consecutive failures, and so the back-off exponent.
 	maxFailures = 8
 )
@@ -32,6 +35,7 @@
 	// lastProbe is the time of the last call allowed while the store was unavailable.
 	lastProbe atomic.Int64
 	listener  atomic.Bool
+	starting  atomic.Bool
 }
 
 // AllowCall reports whether the store may be called now. While the store is
@@ -42,7 +46,10 @@
 		return true
 	}
 	limit := maxProbeInterval
-	if h.listener.Load() {
+	switch {
+	case h.starting.Load():
+		limit = startProbeInterval
+	case h.listener.Load():
 		limit = listenerProbeInterval
 	}
 	pause := min(minProbeInterval<<max(h.failures.Load()-1, 0), limit)
@@ -53,6 +60,13 @@
 	return h.lastProbe.CompareAndSwap(last, now.UnixNano())
 }
 
+// SetStarting sets whether this instance has not joined the fleet yet.
+func (h *Health) SetStarting(starting bool) {
+	if h != nil {
+		h.starting.Store(starting)
+	}
+}
+
 // SetListener sets whether other instances read the store on behalf of this one;
 // if so, probes back off further.
 func (h *Health) SetListener(listener bool) {
@@ -88,12 +102,16 @@
 	}
 }
 
-// RecordFailure records a call that the store did not carry out.
+// RecordFailure records a call that the store did not carry out. Calls that fail at the
+// same time, such as the first ones after a start, count as one failure.
 func (h *Health) RecordFailure(now time.Time) {
-	if h != nil {
+	if h == nil {
+		return
+	}
+	if h.failures.Load() == 0 || now.UnixNano()-h.lastFailure.Load() >= int64(minProbeInterval)/2 {
 		h.failures.Store(min(h.failures.Load()+1, maxFailures))
-		h.lastFailure.Store(now.UnixNano())
 	}
+	h.lastFailure.Store(now.UnixNano())
 }
 
 // Unavailable reports whether the last recorded call to the store failed.
--- a/watch/health_test.go
+++ b/watch/health_test.go
@@ -49,3 +49,41 @@
 	require.True(t, h.AllowCall(now))
 	require.True(t, h.AllowCall(now))
 }
+
+// Guards against a long back-off right after a start: an instance makes several calls at
+// once, whose failures are one, and it serves nothing before the store is back.
+func TestStartingInstanceProbesOften(t *testing.T) {
+	tests := []struct {
+		name     string
+		starting bool
+		want     time.Duration
+	}{
+		{
+			name:     "starting",
+			starting: true,
+			want:     startProbeInterval,
+		},
+		{
+			name: "joined",
+			want: maxProbeInterval,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var h Health
+			h.SetStarting(tt.starting)
+			for range 4 {
+				h.RecordFailure(testStart)
+			}
+			require.True(t, h.AllowCall(testStart.Add(minProbeInterval)), "four failures at once are one")
+			now := testStart.Add(minProbeInterval)
+			for range maxFailures {
+				h.RecordFailure(now)
+				now = now.Add(maxProbeInterval)
+			}
+			h.RecordFailure(now)
+			require.False(t, h.AllowCall(now.Add(tt.want-time.Millisecond)))
+			require.True(t, h.AllowCall(now.Add(tt.want)))
+		})
+	}
+}
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -26,6 +26,9 @@
 	// All other instances read only for themselves while no reader sends messages: many
 	// instances broadcasting to all others would overload the fleet.
 	maxRank = 8
+	// wideLinkShare is the fraction of the widest link in the fleet from which a link is
+	// wide.
+	wideLinkShare = 0.5
 	// maxReadAge is the maximum time since its last successful call for which a store
 	// reader counts as in sync.
 	maxReadAge = 700 * time.Millisecond
@@ -81,6 +84,8 @@
 	Name string
 	Zone string
 	Addr netip.AddrPort
+	// LinkMbit is the bandwidth of the instance's link in Mbit/s; zero means unknown.
+	LinkMbit float64
 }
 
 // Hub decides which instances read the store, and exchanges changes between
@@ -151,6 +156,8 @@
 // monitorOutages periodically records outages and updates the role in Health.
 func (h *Hub) monitorOutages(ctx context.Context) {
 	for clock.Sleep(ctx, roleCheckInterval) {
+		// An instance that has not joined gets no messages.
+		h.Health.SetStarting(!h.hasJoined())
 		h.Health.SetListener(!h.isDesignatedReader())
 		h.recordOutage(time.Now())
 	}
@@ -215,18 +222,38 @@
 	return reading
 }
 
+// hasJoined reports whether this instance knows its rank.
+func (h *Hub) hasJoined() bool {
+	return h.Joined == nil || h.Joined()
+}
+
+// readerOrder returns the designated readers by rank. Those with a wide link come first:
+// a reader receives each write of each target, which exceeds a narrow link in a large
+// fleet.
+func readerOrder(peers []Peer) []Peer {
+	widest := 0.0
+	for _, p := range peers {
+		widest = max(widest, p.LinkMbit)
+	}
+	top := func(wide bool, n int) []Peer {
+		return route.TopBy("reader", peers, func(p *Peer) string {
+			return p.Name
+		}, n, func(p *Peer) bool {
+			return wide == (p.LinkMbit >= wideLinkShare*widest)
+		})
+	}
+	order := top(true, maxRank)
+	return append(order, top(false, maxRank-len(order))...)
+}
+
 // rank returns this instance's position in the order of store readers, or maxRank if
 // it is not a designated reader.
 func (h *Hub) rank() int {
-	if h.Joined != nil && !h.Joined() {
+	if !h.hasJoined() {
 		return maxRank
 	}
 	peers := h.Peers()
-	order := route.TopBy("reader", peers, func(p *Peer) string {
-		return p.Name
-	}, maxRank, func(*Peer) bool {
-		return true
-	})
+	order := readerOrder(peers)
 	for i, p := range order {
 		if p.Name == h.Self {
 			return i
--- a/watch/join_test.go
+++ b/watch/join_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -30,3 +31,24 @@
 	p.putAndWatch(t, "a/1", "x")
 	require.Len(t, p.queuedUpdates(), 1)
 }
+
+// Guards against a reader with a narrow link: in a large fleet the writes of all targets
+// exceed it, so wide links come first, and narrow ones only where there are too few.
+func TestReadersHaveWideLinks(t *testing.T) {
+	var peers []Peer
+	for i := range 40 {
+		p := Peer{
+			Name:     fmt.Sprint("n", i),
+			LinkMbit: 20,
+		}
+		if i%8 == 0 {
+			p.LinkMbit = 200
+		}
+		peers = append(peers, p)
+	}
+	order := readerOrder(peers)
+	require.Len(t, order, maxRank)
+	for i, p := range order {
+		require.Equal(t, i < 5, p.LinkMbit == 200, "rank %d", i)
+	}
+}
