--- a/driver/driver.go
+++ b/driver/driver.go
@@ -75,6 +75,8 @@
 	targets     map[string]*managedTarget
 	loadLimiter sched.LoadLimiter
 	demand      sched.Demand
+	// prefillWindows holds one window per service.
+	prefillWindows map[string]*sched.PrefillWindow
 	// lastModelLoad is when a base model was last ordered from the weight store.
 	lastModelLoad time.Time
 }
@@ -146,6 +148,7 @@
 			pendingFetches: make(map[string]chan struct{}),
 		}
 		mt.state.LoadLimiter = &m.loadLimiter
+		mt.state.PrefillWindow = m.prefillWindow(t.Service)
 		mt.state.StateUnknown = true
 		m.targets[t.ID] = mt
 	}
@@ -161,6 +164,19 @@
 	}
 }
 
+// prefillWindow returns the window that the targets of a service share. The caller holds mu.
+func (m *Manager) prefillWindow(service string) *sched.PrefillWindow {
+	if m.prefillWindows == nil {
+		m.prefillWindows = make(map[string]*sched.PrefillWindow)
+	}
+	w, ok := m.prefillWindows[service]
+	if !ok {
+		w = &sched.PrefillWindow{}
+		m.prefillWindows[service] = w
+	}
+	return w
+}
+
 // sync updates a target's adapters, base models and number of accepted orders from its
 // report.
 func (m *Manager) sync(ctx context.Context, mt *managedTarget) {
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -118,7 +118,8 @@
 				x.FirstByte = now.Sub(sentAt)
 				p.reportFirstByte(sentAt)
 			} else {
-				x.MaxPause = max(x.MaxPause, now.Sub(lastRead))
+				p.maxPause = max(p.maxPause, now.Sub(lastRead))
+				x.MaxPause = max(x.MaxPause, p.maxPause)
 			}
 			lastRead = now
 		}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -78,6 +78,8 @@
 	// delayedFor is how long the request was delayed until its adapter was expected
 	// to be loaded.
 	delayedFor time.Duration
+	// maxPause is the longest pause between two reads of a stream.
+	maxPause time.Duration
 }
 
 // endKind is how an attempt to send a request ended.
@@ -95,7 +97,7 @@
 // reportFirstByte reports the first bytes of the response to the manager.
 func (p *Placement) reportFirstByte(sentAt time.Time) {
 	if p.manager != "" {
-		p.router.queueUpdate(p, sched.ProgressFirstToken, sentAt)
+		p.router.queueUpdate(p, sched.ProgressFirstToken, sentAt, 0)
 	}
 }
 
@@ -105,7 +107,7 @@
 		p.router.balancer.Release(time.Now(), p.Target.ID, kind)
 		return
 	}
-	p.router.queueUpdate(p, kind, sentAt)
+	p.router.queueUpdate(p, kind, sentAt, p.maxPause)
 }
 
 // reportLoad passes the load stated by a target to the balancer. It does nothing if
--- a/proxy/updates.go
+++ b/proxy/updates.go
@@ -10,7 +10,7 @@
 )
 
 // queueUpdate queues a progress update for the manager that granted a placement.
-func (r *Router) queueUpdate(p *Placement, kind sched.ProgressKind, sentAt time.Time) {
+func (r *Router) queueUpdate(p *Placement, kind sched.ProgressKind, sentAt time.Time, maxPause time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	byTarget, ok := r.updates[p.manager]
@@ -19,9 +19,10 @@
 		r.updates[p.manager] = byTarget
 	}
 	byTarget[p.Target.ID] = append(byTarget[p.Target.ID], sched.ProgressUpdate{
-		ID:      p.grantID,
-		Kind:    kind,
-		Elapsed: time.Since(sentAt),
+		ID:       p.grantID,
+		Kind:     kind,
+		Elapsed:  time.Since(sentAt),
+		MaxPause: maxPause,
 	})
 	select {
 	case r.wake <- struct{}{}:
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -144,4 +144,7 @@
 	Kind ProgressKind
 	// Elapsed is the time since the request was sent.
 	Elapsed time.Duration
+	// MaxPause is the longest pause between two parts of a stream that has ended; 0 if it
+	// was no stream.
+	MaxPause time.Duration
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -118,6 +118,8 @@
 	Limits Limits
 	// LoadLimiter is shared by the targets of one manager.
 	LoadLimiter *LoadLimiter
+	// PrefillWindow is shared by the targets of one service under one manager.
+	PrefillWindow *PrefillWindow
 	// StateUnknown is set while it is unknown which adapters the target holds. No
 	// orders are sent during that time.
 	StateUnknown bool
@@ -155,10 +157,13 @@
 		ID:          id,
 		Limits:      l,
 		LoadLimiter: &LoadLimiter{},
-		residents:   make(map[string]*resident),
-		grants:      make(map[string]*grant),
-		waiting:     make(map[string]*waiter),
-		slowdown:    1,
+
+		PrefillWindow: &PrefillWindow{},
+
+		residents: make(map[string]*resident),
+		grants:    make(map[string]*grant),
+		waiting:   make(map[string]*waiter),
+		slowdown:  1,
 	}
 }
 
@@ -252,7 +257,7 @@
 			unread += g.prompt
 		}
 	}
-	wait := unread > 0 && unread+a.Prompt > t.Limits.maxPendingPrefill()
+	wait := !t.PrefillWindow.allows(&t.Limits, unread, a.Prompt)
 	if t.promptTokensAhead(now, a) > 0 {
 		wait = true
 	}
@@ -404,6 +409,7 @@
 	case ProgressEnded:
 		t.suspicionPeriod = 0
 		t.recordOutcome(now, 0)
+		t.PrefillWindow.recordPause(now, g.grantedAt, &t.Limits, u.MaxPause)
 	}
 	t.endGrant(u.ID, g)
 }
--- a/watch/gap.go
+++ b/watch/gap.go
@@ -121,9 +121,15 @@
 	for _, f := range h.Followers {
 		if f.Prefix == args.Prefix {
 			p, ok := f.changesAfter(args.After)
+			m := Message{
+				Parts: []PrefixUpdate{p},
+			}
+			if err := m.pack(); err != nil {
+				h.Log.Error().Err(err).Msg("feed: changes not compressed; sending them as they are")
+			}
 			return ChangesReply{
 				Known:  ok,
-				Update: p,
+				Update: m.Parts[0],
 			}
 		}
 	}
@@ -210,9 +216,15 @@
 			h.Log.Info().Err(err).Str("instance", source).Msgf("feed: missing changes of %s not received; reading them from the store later", f.Prefix)
 			return
 		}
-		if reply.Known {
-			f.receive(time.Now(), reply.Update, source)
+		if !reply.Known {
+			return
+		}
+		update, err := reply.Update.unpacked()
+		if err != nil {
+			h.Log.Warn().Err(err).Str("instance", source).Msg("feed: invalid update; ignoring it")
+			return
 		}
+		f.receive(time.Now(), update, source)
 		return
 	}
 }
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -55,6 +55,8 @@
 	// UpTo is the revision that the prefix reaches with this update.
 	UpTo    store.Revision
 	Entries store.Entries
+	// Packed holds the entries in compressed form instead.
+	Packed []byte
 }
 
 // Message is sent by a store reader to the other instances.
@@ -352,6 +354,12 @@
 	}
 	h.mu.Unlock()
 	for _, p := range m.Parts {
+		p, err := p.unpacked()
+		if err != nil {
+			// The position of the next ping shows the gap.
+			h.Log.Warn().Err(err).Str("instance", m.sender()).Msg("feed: invalid update; ignoring it")
+			continue
+		}
 		for _, f := range h.Followers {
 			if f.Prefix == p.Prefix {
 				f.receive(now, p, m.sender())
--- a/watch/spread.go
+++ b/watch/spread.go
@@ -125,6 +125,9 @@
 func (h *Hub) broadcast(ctx context.Context, m Message) {
 	m.Calm = time.Since(h.LastOutage())
 	m.Path = []string{h.Self}
+	if err := m.pack(); err != nil {
+		h.Log.Error().Err(err).Msg("feed: message not compressed; sending it as it is")
+	}
 	zones := make(map[string]bool)
 	for _, p := range h.Peers() {
 		zones[p.Zone] = true
@@ -183,7 +186,7 @@
 // sendTo sends a message to an instance, which passes it on within the range. It reports
 // whether the instance confirmed it.
 func (h *Hub) sendTo(ctx context.Context, p Peer, m Message, within Range) bool {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.sendTime())
 	defer cancel()
 	m.Within = within
 	err := h.Send(ctx, p, m)
