--- a/driver/driver.go
+++ b/driver/driver.go
@@ -27,6 +27,7 @@
 
 	"currantstile/clock"
 	"currantstile/elect"
+	"currantstile/errs"
 	"currantstile/fleet"
 	"currantstile/sched"
 	"currantstile/wire"
@@ -349,18 +350,21 @@
 }
 
 // Ask handles an admission request.
-func (s *Service) Ask(args wire.AdmissionArgs, reply *wire.AdmissionReply) error {
+func (s *Service) Ask(args wire.AdmissionArgs, reply *wire.AdmissionReply) (err error) {
+	defer errs.Recover("Service.Ask", &err)
 	*reply = s.Manager.RequestAdmission(args)
 	return nil
 }
 
 // Notes handles progress updates.
-func (s *Service) Notes(args wire.ProgressArgs, _ *wire.Empty) error {
+func (s *Service) Notes(args wire.ProgressArgs, _ *wire.Empty) (err error) {
+	defer errs.Recover("Service.Notes", &err)
 	s.Manager.RecordProgress(args)
 	return nil
 }
 
 // Ping does nothing; a reply shows that the instance can be reached.
-func (s *Service) Ping(_ wire.Empty, _ *wire.Empty) error {
+func (s *Service) Ping(_ wire.Empty, _ *wire.Empty) (err error) {
+	defer errs.Recover("Service.Ping", &err)
 	return nil
 }
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -9,6 +9,7 @@
 	"currantstile/clock"
 	"currantstile/config"
 	"currantstile/elect"
+	"currantstile/errs"
 	"currantstile/model"
 	"currantstile/proxy"
 	"currantstile/quota"
@@ -159,13 +160,15 @@
 }
 
 // Take serves wire.MethodAcquireTokens.
-func (s *LimitService) Take(args wire.AcquireTokensArgs, reply *wire.AcquireTokensReply) error {
+func (s *LimitService) Take(args wire.AcquireTokensArgs, reply *wire.AcquireTokensReply) (err error) {
+	defer errs.Recover("LimitService.Take", &err)
 	*reply = s.limiter.acquirer.ServeTake(time.Now(), args)
 	return nil
 }
 
 // Return serves wire.MethodReturnTokens.
-func (s *LimitService) Return(args wire.ReturnTokensArgs, _ *wire.Empty) error {
+func (s *LimitService) Return(args wire.ReturnTokensArgs, _ *wire.Empty) (err error) {
+	defer errs.Recover("LimitService.Return", &err)
 	s.limiter.ledger.Refund(time.Now(), args.Organisation, args.Tokens)
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -290,13 +290,15 @@
 }
 
 // Push serves wire.MethodPush.
-func (s *FeedService) Push(m watch.Message, _ *wire.Empty) error {
+func (s *FeedService) Push(m watch.Message, _ *wire.Empty) (err error) {
+	defer errs.Recover("FeedService.Push", &err)
 	s.hub.Receive(time.Now(), m)
 	return nil
 }
 
 // Changes serves wire.MethodChanges.
-func (s *FeedService) Changes(args watch.ChangesArgs, reply *watch.ChangesReply) error {
+func (s *FeedService) Changes(args watch.ChangesArgs, reply *watch.ChangesReply) (err error) {
+	defer errs.Recover("FeedService.Changes", &err)
 	*reply = s.hub.Changes(args)
 	return nil
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -53,8 +53,14 @@
 	// target may respond before it has read the whole request.
 	maxInlineWrite = 16 << 10
 	readBufferSize = 4 << 10
+	// maxHeadBytes bounds the head of a response, with the interim responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// ErrHeadTooLarge is the cause of a SendError if the head of a response does not end
+// within its bound.
+var ErrHeadTooLarge = errors.New("head of the response is too large")
+
 // Request is an HTTP request to a target.
 type Request struct {
 	Addr   netip.AddrPort
@@ -98,6 +104,25 @@
 	br        *bufio.Reader
 	idleSince time.Time
 	keepAlive time.Duration
+	// headLeft is how many bytes may still be read for a head; negative while a body is
+	// read, which is passed on or bounded by its reader.
+	headLeft int
+}
+
+// Read implements io.Reader. It bounds the bytes of a head: a target that sends bytes
+// without end would otherwise fill the memory.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	if c.headLeft > 0 && len(b) > c.headLeft {
+		b = b[:c.headLeft]
+	}
+	n, err := c.Conn.Read(b)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
 }
 
 // reset closes the connection with a TCP reset and discards unsent data, so that a
@@ -169,7 +194,9 @@
 	req := &http.Request{
 		Method: r.Method,
 	}
+	c.headLeft = maxHeadBytes
 	resp, err := readResponse(c.br, req)
+	c.headLeft = -1
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -276,10 +303,12 @@
 	p.mu.Lock()
 	p.openedConns++
 	p.mu.Unlock()
-	return &conn{
-		Conn: nc,
-		br:   bufio.NewReaderSize(nc, readBufferSize),
-	}, nil
+	c := &conn{
+		Conn:     nc,
+		headLeft: -1,
+	}
+	c.br = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 func (p *Pool) dialTimeout() time.Duration {
@@ -324,6 +353,12 @@
 	return err == nil && open
 }
 
+// Abort resets the connection, so that a pending read of the body fails. It may be called
+// while the body is being read.
+func (r *Response) Abort() {
+	r.conn.reset()
+}
+
 // Close finishes the response. The connection is returned to the pool only if the
 // request was written completely, the body was read to its end, no bytes follow
 // it, ctx of Send has not ended, and the target did not ask to close the
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +219,36 @@
 	require.NoError(t, err)
 	require.Equal(t, int64(2), p.OpenedConns())
 }
+
+// Guards against a head without end: the bytes that are read are bounded, and the request
+// may have run.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	tests := []struct {
+		name, start, line string
+	}{
+		{name: "headers", start: "HTTP/1.1 200 OK\r\n", line: "X-A: " + strings.Repeat("a", 1000) + "\r\n"},
+		{name: "one header", start: "HTTP/1.1 200 OK\r\nX-A: ", line: strings.Repeat("a", 1000)},
+		{name: "status line", start: "", line: strings.Repeat("H", 1000)},
+		{name: "interim responses", start: "", line: "HTTP/1.1 100 Continue\r\nX-A: " + strings.Repeat("a", 20000) + "\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var written atomic.Int64
+			addr := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				defer c.Close()
+				_, err := readRequest(br)
+				for out := tt.start; err == nil && written.Load() < 256<<20; out = tt.line {
+					var n int
+					n, err = io.WriteString(c, out)
+					written.Add(int64(n))
+				}
+			})
+			p := &origin.Pool{}
+			_, err := sendAndRead(p, addr)
+			var sendErr *origin.SendError
+			require.ErrorAs(t, err, &sendErr)
+			require.True(t, sendErr.MaybeSent)
+			require.Less(t, written.Load(), int64(32<<20))
+		})
+	}
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -51,67 +51,78 @@
 }
 
 // Acquire serves wire.MethodAcquire.
-func (s *service) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) error {
+func (s *service) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) (err error) {
+	defer errs.Recover("service.Acquire", &err)
 	*reply = s.handler.Acquire(args)
 	return nil
 }
 
 // Renew serves wire.MethodRenew.
-func (s *service) Renew(args wire.RenewArgs, reply *wire.RenewReply) error {
+func (s *service) Renew(args wire.RenewArgs, reply *wire.RenewReply) (err error) {
+	defer errs.Recover("service.Renew", &err)
 	*reply = s.handler.Renew(args)
 	return nil
 }
 
 // Lost serves wire.MethodAdapterLost.
-func (s *service) Lost(args wire.AdapterLostArgs, _ *wire.Empty) error {
+func (s *service) Lost(args wire.AdapterLostArgs, _ *wire.Empty) (err error) {
+	defer errs.Recover("service.Lost", &err)
 	s.handler.AdapterLost(args)
 	return nil
 }
 
 // Status serves wire.MethodStatus.
-func (s *service) Status(_ wire.StatusArgs, reply *wire.StatusReply) error {
+func (s *service) Status(_ wire.StatusArgs, reply *wire.StatusReply) (err error) {
+	defer errs.Recover("service.Status", &err)
 	*reply = s.handler.Status()
 	return nil
 }
 
 // Borrow serves wire.MethodBorrow.
-func (s *service) Borrow(args wire.BorrowArgs, reply *wire.BorrowReply) error {
+func (s *service) Borrow(args wire.BorrowArgs, reply *wire.BorrowReply) (err error) {
+	defer errs.Recover("service.Borrow", &err)
 	*reply = s.handler.Borrow(args)
 	return nil
 }
 
 // Recall serves wire.MethodRecall.
-func (s *service) Recall(args wire.RecallArgs, reply *wire.RecallReply) error {
+func (s *service) Recall(args wire.RecallArgs, reply *wire.RecallReply) (err error) {
+	defer errs.Recover("service.Recall", &err)
 	*reply = s.handler.Recall(args)
 	return nil
 }
 
 // Loans serves wire.MethodUpdateLoans.
-func (s *service) Loans(args wire.UpdateLoansArgs, reply *wire.UpdateLoansReply) error {
+func (s *service) Loans(args wire.UpdateLoansArgs, reply *wire.UpdateLoansReply) (err error) {
+	defer errs.Recover("service.Loans", &err)
 	*reply = s.handler.UpdateLoans(args)
 	return nil
 }
 
 // Holds serves wire.MethodHolds.
-func (s *service) Holds(args wire.HoldsArgs, reply *wire.HoldsReply) error {
+func (s *service) Holds(args wire.HoldsArgs, reply *wire.HoldsReply) (err error) {
+	defer errs.Recover("service.Holds", &err)
 	*reply = s.handler.Holds(args)
 	return nil
 }
 
 // Permit serves wire.MethodLoadPermit.
-func (s *service) Permit(_ wire.LoadPermitArgs, reply *wire.LoadPermitReply) error {
+func (s *service) Permit(_ wire.LoadPermitArgs, reply *wire.LoadPermitReply) (err error) {
+	defer errs.Recover("service.Permit", &err)
 	*reply = s.handler.LoadPermit()
 	return nil
 }
 
 // Done serves wire.MethodReleasePermit.
-func (s *service) Done(args wire.ReleasePermitArgs, _ *wire.Empty) error {
+func (s *service) Done(args wire.ReleasePermitArgs, _ *wire.Empty) (err error) {
+	defer errs.Recover("service.Done", &err)
 	s.handler.ReleasePermit(args)
 	return nil
 }
 
 // Config serves wire.MethodConfig.
-func (s *service) Config(args wire.ConfigArgs, reply *wire.ConfigReply) error {
+func (s *service) Config(args wire.ConfigArgs, reply *wire.ConfigReply) (err error) {
+	defer errs.Recover("service.Config", &err)
 	*reply = s.handler.Config(args)
 	return nil
 }
@@ -163,7 +174,7 @@
 				_ = c.Close()
 				return
 			}
-			r.ServeConn(c)
+			r.ServeCodec(newServerCodec(c))
 		}()
 	}
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -8,8 +8,11 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"currantstile/call"
 	"currantstile/origin"
+	"currantstile/sched"
 )
 
 const (
@@ -19,6 +22,11 @@
 	// maxDrainBytes is the maximum number of bytes read from a response that is
 	// not relayed.
 	maxDrainBytes = 4 << 10
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// stallFactor is by how much the longest time between two events exceeds that after
+	// which callers leave, so that no stream is ended while its caller still waits.
+	stallFactor = 1.25
 	// streamBufferSize is the size of the read buffer for streams.
 	streamBufferSize = 4 << 10
 )
@@ -110,6 +118,10 @@
 	rc := http.NewResponseController(x.w)
 	buf := make([]byte, streamBufferSize)
 	var lastRead time.Time
+	// Only whole events are progress: a target that sends a byte now and then would hold
+	// the stream until its deadline, and its caller gets nothing meanwhile.
+	stalled := time.AfterFunc(x.maxStall(), resp.Abort)
+	defer stalled.Stop()
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
@@ -128,15 +140,22 @@
 			// Data after the last blank line is part of the response as well.
 			events = append(events, x.events.takeRemainder()...)
 		}
+		if err == nil && len(x.events.partial) > maxEventBytes {
+			err = errEventTooLarge
+			resp.Response.Close = true
+		}
 		if len(events) > 0 || err == io.EOF {
 			x.writeHead(resp)
 		}
 		if len(events) > 0 {
+			// A caller that reads slowly does not make the stream stall.
+			stalled.Stop()
 			if _, writeErr := x.w.Write(events); writeErr != nil || rc.Flush() != nil {
 				p.release(sentAt, endCancelled)
 				x.Reason = "caller-left"
 				return resultDone
 			}
+			stalled.Reset(x.maxStall())
 		}
 		switch {
 		case err == io.EOF:
@@ -151,6 +170,15 @@
 	}
 }
 
+// errEventTooLarge ends a stream whose event does not end within maxEventBytes.
+var errEventTooLarge = errors.New("event of the stream is too large")
+
+// maxStall returns how long a stream may go on without a whole event.
+func (x *Exchange) maxStall() time.Duration {
+	wait := sched.DisconnectWait(x.Route.Objective, x.Route.MaxGap)
+	return time.Duration(stallFactor * float64(wait))
+}
+
 // handleBrokenStream releases the placement of a stream that ended early and returns
 // whether its head was already written to the caller.
 func (x *Exchange) handleBrokenStream(ctx context.Context, p *Placement, sentAt time.Time) sendResult {
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -38,6 +38,9 @@
 // rest is cut off.
 const MaxResponseBytes = 16 << 20
 
+// ErrTooLarge is the cause of the error for a response body over MaxResponseBytes.
+var ErrTooLarge = errors.New("response body exceeds its size limit")
+
 // idleConnTimeout is how long an idle connection is kept for reuse.
 const idleConnTimeout = 60 * time.Second
 
@@ -188,7 +191,11 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	if err == nil && len(body) > MaxResponseBytes {
+		// A truncated body must not pass for a complete one.
+		err = ErrTooLarge
+	}
 	if err != nil {
 		return Response{}, &SendError{
 			MaybeSent: true,
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -164,13 +164,19 @@
 // DisconnectTime returns when the caller of a stream that has waited since start
 // disconnects if it receives nothing, at the latest at its deadline.
 func DisconnectTime(start, deadline time.Time, objective, gap time.Duration) time.Time {
-	disconnect := start.Add(max(minDisconnectTime, disconnectObjectives*objective, disconnectGaps*gap))
+	disconnect := start.Add(DisconnectWait(objective, gap))
 	if disconnect.Before(deadline) {
 		return disconnect
 	}
 	return deadline
 }
 
+// DisconnectWait returns how long the caller of a stream waits for an event before it
+// disconnects.
+func DisconnectWait(objective, gap time.Duration) time.Duration {
+	return max(minDisconnectTime, disconnectObjectives*objective, disconnectGaps*gap)
+}
+
 // AdmissionDeadline returns when a request that has not been admitted is refused,
 // early enough for its caller to try again.
 func AdmissionDeadline(start, deadline time.Time) time.Time {
