--- a/driver/driver.go
+++ b/driver/driver.go
@@ -265,6 +265,9 @@
 	}
 	reply := m.decide(mt, args.Ask)
 	reply.Demand = demand
+	mt.mu.Lock()
+	reply.Window = mt.state.PrefillWindow.Tokens(&mt.state.Limits)
+	mt.mu.Unlock()
 	return reply
 }
 
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -94,8 +94,12 @@
 		key = x.Request.ID
 	}
 	pick := xxhash.Sum64String(x.Request.ID)
+	limits := sched.Limits{
+		EventSteps: svc.Engine.EventTokens,
+		MaxGap:     svc.MaxGap(),
+	}
 	reserved := map[*fleet.Target]bool{}
-	if replicas > 1 {
+	if replicas > 1 && limits.SeparatesLongPrompts(r.prefillWindow(svc.Name)) {
 		for _, t := range topTargets(longPromptKey, targets, sched.LongPromptTargets(len(targets)), anyTarget) {
 			reserved[t] = true
 		}
@@ -104,10 +108,6 @@
 		return (x.Request.Model == "" || (*t).HoldsModel(x.Request.Model)) && !reserved[*t]
 	}
 	ordered := sched.OrderTargets(topTargets(key, targets, max(sched.MaxTargets, replicas), holdsModel), replicas, pick, attempt)
-	limits := sched.Limits{
-		EventSteps: svc.Engine.EventTokens,
-		MaxGap:     svc.MaxGap(),
-	}
 	if len(reserved) == 0 || !limits.IsLongPrompt(x.Request.PromptTokens) {
 		return ordered, min(replicas, len(ordered))
 	}
@@ -117,6 +117,23 @@
 	return append(sched.OrderTargets(long, len(long), pick, attempt), ordered...), 0
 }
 
+// prefillWindow returns the prefill window of a service, or 0 if it is unknown.
+func (r *Router) prefillWindow(service string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.windows[service]
+}
+
+// recordPrefillWindow records the prefill window of a service that a manager reported.
+func (r *Router) recordPrefillWindow(service string, window int64) {
+	if window <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.windows[service] = window
+}
+
 // longPromptKey is the rendezvous key that selects the targets reserved for long
 // prompts.
 const longPromptKey = "long-prompts"
@@ -168,6 +185,7 @@
 	}
 	reply := r.callManager(ctx, view, p, args)
 	r.demand.Merge(time.Now(), x.Request.AdapterName(), reply.Demand)
+	r.recordPrefillWindow(t.Service, reply.Window)
 	x.gate.Log.Debug().Str("request", x.Request.ID).Str("target", t.ID).Bool("granted", reply.Granted).
 		Str("reason", string(reply.Reason)).Dur("expected", reply.Expected).Msg("gate: admission requested")
 	if !reply.Granted {
--- a/proxy/order_test.go
+++ b/proxy/order_test.go
@@ -51,3 +51,39 @@
 		require.NotContains(t, short, id)
 	}
 }
+
+// Where targets read long prompts in pieces, as the window that a manager reports shows,
+// the prompts of a popular adapter use all of its replicas: on a deployment whose prompts are
+// nearly all long, a tenth of the targets would serve half of the load.
+func TestLongPromptsAreNotKeptApartWhereReadInPieces(t *testing.T) {
+	const n, replicas = 40, 5
+	svc := &config.Service{
+		Name: "s",
+		Engine: &config.Engine{
+			EventTokens: 6,
+		},
+	}
+	var targets []*fleet.Target
+	for i := range n {
+		targets = append(targets, &fleet.Target{
+			ID: fmt.Sprint("t", i),
+		})
+	}
+	r := &Router{}
+	r.init()
+	r.recordPrefillWindow("s", 40_000)
+	r.recordPrefillWindow("s", 0)
+	used := map[string]bool{}
+	for i := range 200 {
+		list, weight := r.orderTargets(&Exchange{
+			Request: &call.Request{
+				ID:           fmt.Sprint("r", i),
+				Adapter:      "a1",
+				PromptTokens: 9200,
+			},
+		}, svc, targets, replicas, 0)
+		used[list[0].ID] = true
+		require.Equal(t, replicas, weight, "the demand of long prompts is counted")
+	}
+	require.Len(t, used, replicas)
+}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -57,6 +57,8 @@
 	// lastContact when the last message from each instance was received.
 	backoffUntil map[string]time.Time
 	lastContact  map[string]time.Time
+	// windows is the prefill window of each service that its managers last reported.
+	windows map[string]int64
 	// updates holds the queued progress updates by manager and target. wake is
 	// signalled when one is added.
 	updates map[string]map[string][]sched.ProgressUpdate
@@ -123,6 +125,7 @@
 	r.once.Do(func() {
 		r.backoffUntil = make(map[string]time.Time)
 		r.lastContact = make(map[string]time.Time)
+		r.windows = make(map[string]int64)
 		r.updates = make(map[string]map[string][]sched.ProgressUpdate)
 		r.wake = make(chan struct{}, 1)
 	})
--- a/sched/prefill_window_test.go
+++ b/sched/prefill_window_test.go
@@ -195,3 +195,23 @@
 	t.Logf("pieces of 1024: %d on time, %d late; whole prompts: %d on time, %d late, %d of %d streams with a long pause",
 		small.onTime, small.late, whole.onTime, whole.late, whole.longPauses, whole.streams)
 }
+
+// Long prompts are kept apart while it is unknown whether they delay streams.
+func TestSeparatesLongPrompts(t *testing.T) {
+	l := sched.Limits{
+		EventSteps:   6,
+		MaxGap:       modelMaxGap,
+		MemoryTokens: 232_000,
+	}
+	tests := []struct {
+		window int64
+		want   bool
+	}{
+		{window: 0, want: true},
+		{window: 1_000, want: true},
+		{window: 40_000, want: false},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, l.SeparatesLongPrompts(tt.window), tt.window)
+	}
+}
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -35,6 +35,9 @@
 	// Demand is the rate of prompt tokens per second requested for the adapter,
 	// summed over all instances, as far as the target's manager knows.
 	Demand float64
+	// Window is how many prompt tokens the target may have unread; see
+	// sched.PrefillWindow. 0 means unknown.
+	Window int64
 }
 
 // ProgressArgs reports progress updates of granted requests to a manager.
