--- a/rest/rest_test.go
+++ b/rest/rest_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -140,3 +141,34 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.True(t, MaybeSent(err))
 }
+
+// Guards against a body that is cut at the bound and passes for a complete one.
+func TestBodyOverBoundIsAnError(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		ok   bool
+	}{
+		{name: "at the bound", size: MaxResponseBytes, ok: true},
+		{name: "over it", size: MaxResponseBytes + 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, tt.size))
+			}))
+			defer s.Close()
+			resp, err := NewClient(time.Second, 1).Exchange(context.Background(), Request{
+				Addr:   netip.MustParseAddrPort(s.Listener.Addr().String()),
+				Method: http.MethodGet,
+				Path:   "/",
+			})
+			if tt.ok {
+				require.NoError(t, err)
+				require.Len(t, resp.Body, tt.size)
+				return
+			}
+			require.ErrorIs(t, err, ErrTooLarge)
+		})
+	}
+}
--- a/watch/spread_test.go
+++ b/watch/spread_test.go
@@ -79,6 +79,12 @@
 	return nil
 }
 
+func (f *meshFleet) setCut(cut func(a, b string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
 // broadcast sends a message from the first instance and returns the names of the live
 // instances that did not receive it within a time.
 func (f *meshFleet) broadcast(ctx context.Context, within time.Duration) []string {
@@ -87,7 +93,9 @@
 	clear(f.sends)
 	f.mu.Unlock()
 	for _, h := range f.hubs {
+		h.mu.Lock()
 		h.ctx = ctx
+		h.mu.Unlock()
 	}
 	f.hubs[f.peers[0].Name].broadcast(ctx, Message{From: f.peers[0].Name})
 	time.Sleep(within)
@@ -142,14 +150,14 @@
 		t.Run(pair[0]+pair[1], func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newMeshFleet(3, 20)
-				f.cut = func(a, b string) bool {
+				f.setCut(func(a, b string) bool {
 					return a == pair[0] && b == pair[1] || a == pair[1] && b == pair[0]
-				}
+				})
 				require.Empty(t, f.broadcast(t.Context(), (maxHeads+1)*sendTimeout))
 				require.Empty(t, f.broadcast(t.Context(), sendTimeout/2), "the cut is remembered")
-				f.cut = func(string, string) bool {
+				f.setCut(func(string, string) bool {
 					return false
-				}
+				})
 				time.Sleep(suspicionPeriod)
 				require.Empty(t, f.broadcast(t.Context(), sendTimeout/2))
 				require.LessOrEqual(t, f.sends["n-0-0"], 2+fanout, "healed: sent directly again")
