--- a/watch/pack_test.go
+++ b/watch/pack_test.go
@@ -17,14 +17,14 @@
 	m := Message{
 		Parts: []PrefixUpdate{
 			{
-				Prefix:  "op/",
+				Prefix:  "a/",
 				UpTo:    7,
-				Entries: store.Entries{{Key: "op/config", Value: value, Revision: 7}},
+				Entries: store.Entries{{Key: "a/config", Value: value, Revision: 7}},
 			},
 			{
-				Prefix:  "servers/",
+				Prefix:  "b/",
 				UpTo:    7,
-				Entries: store.Entries{{Key: "servers/a", Value: []byte("{}"), Revision: 6}},
+				Entries: store.Entries{{Key: "b/1", Value: []byte("{}"), Revision: 6}},
 			},
 		},
 	}
