--- a/call/call.go
+++ b/call/call.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -65,6 +66,25 @@
 	return r.Deadline.Sub(now)
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the
+// last one.
+func (r *Request) SharedParts() []PromptPart {
+	return r.PromptParts[:max(len(r.PromptParts)-1, 0)]
+}
+
+// PartNames returns the IDs of the shared parts of the prompt, separated by commas, for
+// the log.
+func (r *Request) PartNames() string {
+	var b strings.Builder
+	for i, p := range r.SharedParts() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(p.ID)
+	}
+	return b.String()
+}
+
 // AdapterName returns MODEL/NAME, or an empty string if the request needs no
 // adapter.
 func (r *Request) AdapterName() string {
--- a/cmd/currantstile/explain.go
+++ b/cmd/currantstile/explain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 
@@ -44,6 +45,12 @@
 	return s
 }
 
+// concerns reports whether the line is about a request: its own, or that of the target which
+// ended while it began to answer the request.
+func (l *logLine) concerns(id string) bool {
+	return l.stringField("request") == id || slices.Contains(strings.Fields(l.stringField("starting")), id)
+}
+
 func runExplain(_ context.Context, args []string, out, _ io.Writer) error {
 	fs := newFlags("explain")
 	if err := parseFlags(fs, args); err != nil {
@@ -142,7 +149,7 @@
 	sources, targets := make(map[string]bool), make(map[string]bool)
 	first := -1
 	for i, l := range lines {
-		if l.stringField("request") != id {
+		if !l.concerns(id) {
 			continue
 		}
 		if first < 0 {
@@ -158,7 +165,7 @@
 	var selected []logLine
 	for i, l := range lines {
 		switch {
-		case l.stringField("request") == id:
+		case l.concerns(id):
 			selected = append(selected, l)
 		case i < first && isStateChange(l, sources, targets):
 			states[l.source+l.stringField("message")+l.stringField("target")] = l
--- a/cmd/currantstile/explain_test.go
+++ b/cmd/currantstile/explain_test.go
@@ -18,6 +18,8 @@
 no object here
 1.0 entry-0 {"time":"2026-12-04T08:00:09.1Z","level":"info","request":"r1","target":"t1","status":421,"message":"gate: target ran nothing"}
 1.1 entry-0 {"time":"2026-12-04T08:00:09.2Z","level":"info","request":"r2","target":"t2","status":200,"message":"gate: request"}
+1.15 entry-0 {"time":"2026-12-04T08:00:09.25Z","level":"info","target":"t1","ended":true,"starting":"r7 r1","message":"gate: target interrupted requests"}
+1.16 entry-0 {"time":"2026-12-04T08:00:09.26Z","level":"info","target":"t1","ended":true,"starting":"r7 r11","message":"gate: target interrupted requests"}
 1.2 entry-0 {"time":"2026-12-04T08:00:09.3Z","level":"info","request":"r1","target":"t1","status":503,"reason":"no-adapter-slot","message":"gate: request"}
 `
 
@@ -29,11 +31,12 @@
 	var out, errOut bytes.Buffer
 	require.Equal(t, exitOK, run([]string{"explain", "r1", path}, &out, &errOut), errOut.String())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	require.Len(t, lines, 4)
+	require.Len(t, lines, 5)
 	require.Contains(t, lines[0], "entry-0  node: configuration in force configuration=4")
 	require.Contains(t, lines[1], "lead: managing target fence=7 target=t1")
 	require.Contains(t, lines[2], "gate: target ran nothing")
-	require.Contains(t, lines[3], "reason=no-adapter-slot")
+	require.Contains(t, lines[3], "starting=r7 r1")
+	require.Contains(t, lines[4], "reason=no-adapter-slot")
 	require.Equal(t, exitFailed, run([]string{"explain", "nobody", path}, &out, &errOut))
 	require.Equal(t, exitUsage, run([]string{"explain", "r1"}, &out, &errOut))
 	require.Equal(t, exitFailed, run([]string{"explain", "r1", path + "x"}, &out, &errOut))
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -283,6 +283,20 @@
 		}
 		_ = c.Close()
 	}
+	nc, err := p.dial(ctx, r.Addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		Conn:     nc,
+		headLeft: -1,
+	}
+	c.br = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: p.dialTimeout(),
 		// Keep-alive probes are off: the targets' idle timeouts and
@@ -296,21 +310,27 @@
 			})
 		},
 	}
-	nc, err := d.DialContext(ctx, "tcp", r.Addr.String())
+	c, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	p.openedConns++
 	p.mu.Unlock()
-	c := &conn{
-		Conn:     nc,
-		headLeft: -1,
-	}
-	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
 
+// Refuses reports whether connections to an address are refused: the machine answers, but
+// no process listens there. It opens a connection and closes it again.
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 func (p *Pool) dialTimeout() time.Duration {
 	if p.DialTimeout == 0 {
 		return DefaultDialTimeout
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -252,3 +252,20 @@
 		})
 	}
 }
+
+// Guards against taking a target that cannot be reached, or that still accepts
+// connections, for one whose process has ended.
+func TestRefuses(t *testing.T) {
+	var p origin.Pool
+	ctx := context.Background()
+	addr := startServer(t, func(int, net.Conn, *bufio.Reader) {})
+	require.False(t, p.Refuses(ctx, addr))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := netip.MustParseAddrPort(ln.Addr().String())
+	require.NoError(t, ln.Close())
+	require.True(t, p.Refuses(ctx, closed))
+	done, cancel := context.WithCancel(ctx)
+	cancel()
+	require.False(t, p.Refuses(done, closed))
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -215,6 +215,9 @@
 	line := x.gate.Log.Info()
 	if x.Request != nil {
 		line.Str("request", x.Request.ID).Int64("tokens", x.Request.TotalTokens())
+		if x.Request.Model != "" {
+			line.Str("adapter", x.Request.AdapterName()).Str("parts", x.Request.PartNames())
+		}
 	}
 	if x.Route != nil {
 		line.Str("route", x.Route.Name)
@@ -298,6 +301,14 @@
 	}
 }
 
+// interruption describes the request after the connection to its target broke.
+func (x *Exchange) interruption() interruption {
+	return interruption{
+		request: x.Request,
+		events:  x.events.count,
+	}
+}
+
 // logNotExecuted logs that the target did not execute the request.
 func (x *Exchange) logNotExecuted(p *Placement, status int) {
 	x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("adapter", x.Request.AdapterName()).
@@ -314,6 +325,9 @@
 		p.release(sentAt, endCancelled)
 	} else {
 		p.release(sentAt, endUnreachable)
+		if maybeSent {
+			x.gate.crashes.add(p.Target, x.interruption())
+		}
 	}
 	if maybeSent {
 		return resultUnknown
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -87,6 +87,7 @@
 	server    *http.Server
 	boundAddr netip.AddrPort
 	idle      idleConns
+	crashes   crashDetector
 	draining  atomic.Bool
 	running   atomic.Int64
 }
@@ -110,6 +111,8 @@
 		return errs.WithPeer(err, "Gate.Start", g.Addr)
 	}
 	g.boundAddr = ln.Addr().(*net.TCPAddr).AddrPort()
+	g.crashes.refuses = g.Conns.Refuses
+	g.crashes.log = g.Log
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: config.DefaultHeaderTimeout,
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -164,7 +164,8 @@
 			return resultDone
 		case err != nil:
 			x.events.partial = x.events.partial[:0]
-			x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("event", x.events.lastID).Err(err).Msg("gate: stream broken; partial event discarded")
+			x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("event", x.events.lastID).
+				Str("adapter", x.Request.AdapterName()).Str("parts", x.Request.PartNames()).Err(err).Msg("gate: stream broken; partial event discarded")
 			return x.handleBrokenStream(ctx, p, sentAt)
 		}
 	}
@@ -186,6 +187,7 @@
 		p.release(sentAt, endCancelled)
 	} else {
 		p.release(sentAt, endUnreachable)
+		x.gate.crashes.add(p.Target, x.interruption())
 	}
 	if x.headSent {
 		return resultStreamBroken
@@ -209,8 +211,10 @@
 // the stream can be resumed from the last complete event.
 type eventSplitter struct {
 	partial []byte
-	// lastID is the ID of the last complete event.
+	// lastID is the ID of the last complete event, and count the number of complete
+	// events, separators included.
 	lastID string
+	count  int
 }
 
 // add appends bytes and returns the events that are now complete.
@@ -223,6 +227,7 @@
 	end += 2
 	events := append([]byte(nil), e.partial[:end]...)
 	e.partial = append(e.partial[:0], e.partial[end:]...)
+	e.count += bytes.Count(events, []byte("\n\n"))
 	e.updateLastID(events)
 	return events
 }
