Recognise requests that crash targets, at all instances

Cause: a fault that travels with the input; the platform path remembered nothing about what targets ended under, and prompt parts were used by no decision. Change: package poison; instances report the features (prompt parts but the last, and the whole request) of requests whose answer was at its start when a target's process ended; a feature is blocked after three targets in two rounds unless any instance saw it answered since; blocks outlive instances, are tried again by one request and cleared by any answer; no third target after two that ended.

--- a/cmd/currantstile/explain.go
+++ b/cmd/currantstile/explain.go
@@ -20,7 +20,8 @@
 Reads the logs of one or more instances and prints the lines about a request in
 order of time, each with its instance. Before them it prints the last known state
 of each instance that logged the request: its configuration, its share of the
-limits, and its view of the target that the request went to. FILE is a log as
+limits, and its view of the target that the request went to; and why a feature of
+the request was blocked. FILE is a log as
 currantstile node writes it; - is standard input. If a log collector put text
 before a line's JSON object, such as a time and the instance's name, the last word
 of that text is taken as the instance.
@@ -146,7 +147,7 @@
 // requestLines returns the lines of a request. Before them it puts, for each instance and
 // target involved, the last earlier line of each kind of state change that affects requests.
 func requestLines(id string, lines []logLine) []logLine {
-	sources, targets := make(map[string]bool), make(map[string]bool)
+	sources, targets, features := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	first := -1
 	for i, l := range lines {
 		if !l.concerns(id) {
@@ -157,6 +158,7 @@
 		}
 		sources[l.source] = true
 		targets[l.stringField("target")] = true
+		features[l.stringField("feature")] = true
 	}
 	if first < 0 {
 		return nil
@@ -167,8 +169,8 @@
 		switch {
 		case l.concerns(id):
 			selected = append(selected, l)
-		case i < first && isStateChange(l, sources, targets):
-			states[l.source+l.stringField("message")+l.stringField("target")] = l
+		case i < first && (isStateChange(l, sources, targets) || isBlockChange(l, features)):
+			states[l.source+l.stringField("message")+l.stringField("target")+l.stringField("feature")] = l
 		}
 	}
 	earlier := make([]logLine, 0, len(states))
@@ -181,6 +183,19 @@
 	return append(earlier, selected...)
 }
 
+// isBlockChange reports whether a line records, on any instance, why one of the features
+// was blocked or tried. The messages must be equal to those that package node logs.
+func isBlockChange(l logLine, features map[string]bool) bool {
+	switch l.stringField("message") {
+	case "poison: deciding about a feature", "poison: feature blocked; requests with it crashed these targets",
+		"poison: trial of a blocked feature claimed", "poison: feature cleared":
+		f := l.stringField("feature")
+		return f != "" && features[f]
+	default:
+		return false
+	}
+}
+
 // isStateChange reports whether a line records a change of the state that requests are decided
 // by: the configuration, the share of the limits or the role as store reader of an instance in
 // sources, or the state of a target in targets as logged by any instance. The messages must be
--- a/cmd/currantstile/explain_test.go
+++ b/cmd/currantstile/explain_test.go
@@ -53,3 +53,22 @@
 	}
 	require.Equal(t, exitUsage, run([]string{"node", "-settings", "", "-log-level", "loud"}, &out, &errOut))
 }
+
+const blockLog = `
+1.0 entry-1 {"time":"2026-12-04T08:00:01Z","feature":"part/x","targets":"t1 t2 t3","by":"entry-1","message":"poison: feature blocked; requests with it crashed these targets"}
+1.0 entry-1 {"time":"2026-12-04T08:00:01Z","feature":"part/y","targets":"t4","by":"entry-1","message":"poison: feature blocked; requests with it crashed these targets"}
+2.0 entry-0 {"time":"2026-12-04T08:00:02Z","request":"r1","feature":"part/x","status":503,"reason":"crashes-targets","message":"gate: request"}
+`
+
+// Guards against a refused request whose explanation does not say which feature was blocked on
+// what evidence.
+func TestExplainBlockedFeature(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	require.NoError(t, os.WriteFile(path, []byte(blockLog), 0o600))
+	var out, errOut bytes.Buffer
+	require.Equal(t, exitOK, run([]string{"explain", "r1", path}, &out, &errOut), errOut.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], "targets=t1 t2 t3")
+	require.Contains(t, lines[1], "reason=crashes-targets")
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,6 +14,7 @@
 
 	"currantstile/metric"
 	"currantstile/peer"
+	"currantstile/poison"
 	"currantstile/proxy"
 )
 
@@ -31,6 +32,8 @@
 
 	mu        sync.Mutex
 	firstByte map[string]*metric.Histogram
+	// blocks are the features that are blocked.
+	blocks []poison.BlockInfo
 }
 
 // maxHistograms bounds the number of routes that have their own latency histogram.
@@ -136,6 +139,11 @@
 	gauge("store_age_seconds", now.Sub(n.health.LastSuccess()).Seconds())
 	gauge("requests_running", float64(n.gate.Running()))
 	gauge("connections_opened", float64(n.Conns.OpenedConns()))
+	blocks := n.screen.ledger.Blocks(now)
+	gauge("blocked_features", float64(len(blocks)))
+	m.mu.Lock()
+	m.blocks = blocks
+	m.mu.Unlock()
 }
 
 // serveMetrics writes all metrics as plain text.
@@ -156,6 +164,10 @@
 		fmt.Fprintf(&b, "currantstile_peer_bytes_total{%s} %s\n", kv.Key, kv.Value)
 	})
 	m.mu.Lock()
+	for _, info := range m.blocks {
+		fmt.Fprintf(&b, "currantstile_blocked_feature{feature=%q,by=%q,targets=\"%d\",trials=\"%d\",since=%q} 1\n",
+			info.Feature, info.By, len(info.Targets), info.Trials, info.Since.UTC().Format(time.RFC3339))
+	}
 	routes := make([]string, 0, len(m.firstByte))
 	for r := range m.firstByte {
 		routes = append(routes, r)
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	pool             *peer.Pool
 	peers            *peer.Server
 	limiter          *limiter
+	screen           *screen
 	router           *proxy.Router
 	gate             *proxy.Gate
 	hub              *watch.Hub
@@ -128,6 +129,7 @@
 	n.buildManager()
 	n.buildFollowers()
 	n.limiter = newLimiter(n)
+	n.screen = newScreen(n)
 	n.buildGate()
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	n.cancel = cancel
@@ -195,6 +197,7 @@
 		Codec:          n.Codec,
 		Config:         n.config.Load,
 		Limiter:        n.limiter,
+		Screen:         n.screen,
 		Router:         n.router,
 		Conns:          n.Conns,
 		ObserveRequest: n.metrics.recordRequest,
@@ -210,6 +213,9 @@
 			wire.ServiceFeed: &FeedService{
 				hub: n.hub,
 			},
+			wire.ServicePoison: &PoisonService{
+				ledger: n.screen.ledger,
+			},
 		},
 	}
 }
@@ -351,6 +357,8 @@
 		n.router.Run,
 		n.gate.Run,
 		n.limiter.run,
+		n.screen.run,
+		n.screen.runWrites,
 		n.maintain,
 		n.hub.Run,
 	}
--- a/node/sources.go
+++ b/node/sources.go
@@ -95,6 +95,7 @@
 		if c.Entry.Key == membershipKey {
 			n.limiter.allocator.Apply(now, c.Entry)
 		}
+		n.screen.apply(now, c)
 	}
 }
 
--- /dev/null
+++ b/poison/ledger.go
@@ -0,0 +1,332 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Interrupted is a request that a target had begun to answer, or was about to, when its
+// process ended.
+type Interrupted struct {
+	Features []Feature
+	SentAt   time.Time
+}
+
+// Ledger holds what an instance knows about features: its own answers, the reports of all
+// instances and the blocks. It is safe for concurrent use. Its exported fields are set before
+// the first call.
+type Ledger struct {
+	// Self is the name of this instance.
+	Self string
+
+	mu      sync.Mutex
+	answers answerLog
+	// reports are the reports by their key, and order their keys by age.
+	reports map[string]*Report
+	order   []string
+	// evidence is derived from reports, and ready holds the features among them that were
+	// reported about enough targets in enough rounds.
+	evidence map[Feature]*evidence
+	ready    map[Feature]bool
+	blocks   map[Feature]*blockState
+}
+
+// evidence is what all reports say about one feature.
+type evidence struct {
+	// targets counts the reports that name the feature by target, and reporters by instance.
+	targets   map[string]int
+	reporters map[string]int
+	round     int
+	// firstSeen is when the first report became known, and roundSeen when the last round did.
+	firstSeen time.Time
+	roundSeen time.Time
+	// candidateSince is when there was first enough evidence.
+	candidateSince time.Time
+}
+
+// blockState is a blocked feature.
+type blockState struct {
+	Block
+	// since is when the block became known, and changed when its last change did.
+	since   time.Time
+	changed time.Time
+}
+
+// init creates the maps on the first call. The caller holds the lock.
+func (l *Ledger) init() {
+	if l.reports == nil {
+		l.reports = make(map[string]*Report)
+		l.evidence = make(map[Feature]*evidence)
+		l.ready = make(map[Feature]bool)
+		l.blocks = make(map[Feature]*blockState)
+	}
+}
+
+// Check decides whether a request with the given features may be sent.
+func (l *Ledger) Check(now time.Time, features []Feature) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var due Decision = Allowed{}
+	for _, f := range features {
+		b, ok := l.blocks[f]
+		if !ok {
+			continue
+		}
+		if wait := b.delay() - now.Sub(b.changed); wait > 0 {
+			return Blocked{
+				Feature:    f,
+				RetryAfter: wait,
+			}
+		}
+		due = TrialDue{
+			Feature: f,
+		}
+	}
+	return due
+}
+
+// RecordAnswered records that a target answered a request completely. It returns the
+// features that were blocked: the answer clears them.
+func (l *Ledger) RecordAnswered(now time.Time, features []Feature) []Feature {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var cleared []Feature
+	for _, f := range features {
+		l.answers.record(now, f)
+		if _, ok := l.blocks[f]; ok {
+			cleared = append(cleared, f)
+		}
+	}
+	return cleared
+}
+
+// LastAnswers returns how long ago this instance last saw a complete answer to a request with
+// each feature; negative for none that it remembers.
+func (l *Ledger) LastAnswers(now time.Time, features []Feature) []time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ages := make([]time.Duration, 0, len(features))
+	for _, f := range features {
+		ages = append(ages, l.answers.age(now, f))
+	}
+	return ages
+}
+
+// Report returns the report about targets that ended, by the requests that they
+// interrupted. It reports false if there is nothing to report, since all features were
+// answered lately.
+func (l *Ledger) Report(now time.Time, ended map[string][]Interrupted) (Report, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := Report{
+		Instance: l.Self,
+	}
+	for target, requests := range ended {
+		if len(r.Ended) >= maxEnded {
+			break
+		}
+		if suspects := l.suspects(now, requests); len(suspects) > 0 {
+			r.Ended = append(r.Ended, EndedTarget{
+				Target:   target,
+				Suspects: suspects,
+			})
+		}
+	}
+	return r, len(r.Ended) > 0
+}
+
+// suspects returns the features of interrupted requests that this instance has no reason to
+// trust. Blocked features are among them, since they explain why the target ended.
+func (l *Ledger) suspects(now time.Time, requests []Interrupted) []Suspect {
+	var list []Suspect
+	for _, r := range requests {
+		for _, f := range r.Features {
+			if age := l.answers.age(now, f); age >= 0 && (age < presumption || age < now.Sub(r.SentAt)) {
+				continue
+			}
+			known := slices.ContainsFunc(list, func(s Suspect) bool {
+				return s.Feature == f
+			})
+			if known || len(list) >= maxSuspects {
+				continue
+			}
+			list = append(list, Suspect{
+				Feature: f,
+				Round:   l.roundOf(f, r.SentAt),
+			})
+		}
+	}
+	return list
+}
+
+// roundOf returns the round for which a request counts that was sent at the given time.
+func (l *Ledger) roundOf(f Feature, sentAt time.Time) int {
+	e, ok := l.evidence[f]
+	if !ok {
+		return 1
+	}
+	if sentAt.After(e.roundSeen) {
+		return e.round + 1
+	}
+	return e.round
+}
+
+// ApplyReport applies a report of the store under its key; nil removes it. Reports do not
+// change, so one that is known is ignored.
+func (l *Ledger) ApplyReport(now time.Time, key string, r *Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	if r == nil {
+		l.removeReport(key)
+		return
+	}
+	if _, known := l.reports[key]; known {
+		return
+	}
+	l.reports[key] = r
+	l.order = append(l.order, key)
+	l.addEvidence(now, r)
+	if len(l.order) > maxReports {
+		l.removeReport(l.order[0])
+	}
+}
+
+// removeReport removes a report and its evidence.
+func (l *Ledger) removeReport(key string) {
+	r, ok := l.reports[key]
+	if !ok {
+		return
+	}
+	delete(l.reports, key)
+	l.order = slices.DeleteFunc(l.order, func(k string) bool {
+		return k == key
+	})
+	for _, t := range r.Ended {
+		for _, s := range t.Suspects {
+			e, ok := l.evidence[s.Feature]
+			if !ok {
+				continue
+			}
+			decrement(e.targets, t.Target)
+			decrement(e.reporters, r.Instance)
+			if len(e.targets) < minTargets {
+				delete(l.ready, s.Feature)
+			}
+			if len(e.targets) == 0 {
+				delete(l.evidence, s.Feature)
+			}
+		}
+	}
+}
+
+// decrement lowers a count and removes it at zero.
+func decrement(counts map[string]int, key string) {
+	if counts[key]--; counts[key] <= 0 {
+		delete(counts, key)
+	}
+}
+
+// addEvidence adds what a report says.
+func (l *Ledger) addEvidence(now time.Time, r *Report) {
+	for _, t := range r.Ended {
+		for _, s := range t.Suspects {
+			e, ok := l.evidence[s.Feature]
+			if !ok {
+				e = &evidence{
+					targets:   make(map[string]int),
+					reporters: make(map[string]int),
+					firstSeen: now,
+				}
+				l.evidence[s.Feature] = e
+			}
+			e.targets[t.Target]++
+			e.reporters[r.Instance]++
+			if s.Round > e.round {
+				e.round, e.roundSeen = s.Round, now
+			}
+			if e.round >= minRounds && len(e.targets) >= minTargets {
+				l.ready[s.Feature] = true
+			}
+		}
+	}
+}
+
+// ApplyBlock applies a block of the store; nil clears the feature. It reports whether that
+// changed anything but the number of trials.
+func (l *Ledger) ApplyBlock(now time.Time, f Feature, b *Block) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	old, known := l.blocks[f]
+	if b == nil {
+		delete(l.blocks, f)
+		l.forget(f)
+		return known
+	}
+	state := &blockState{
+		Block:   *b,
+		since:   now,
+		changed: now,
+	}
+	if known {
+		state.since = old.since
+	}
+	l.blocks[f] = state
+	return !known
+}
+
+// forget drops the evidence against a feature that was cleared, so that reports from before
+// do not block it again.
+func (l *Ledger) forget(f Feature) {
+	for _, key := range slices.Clone(l.order) {
+		r := l.reports[key]
+		for i := range r.Ended {
+			r.Ended[i].Suspects = slices.DeleteFunc(r.Ended[i].Suspects, func(s Suspect) bool {
+				return s.Feature == f
+			})
+		}
+	}
+	delete(l.evidence, f)
+	delete(l.ready, f)
+}
+
+// BlockOf returns the block of a feature.
+func (l *Ledger) BlockOf(f Feature) (Block, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.blocks[f]
+	if !ok {
+		return Block{}, false
+	}
+	return b.Block, true
+}
+
+// BlockInfo describes a blocked feature for operators.
+type BlockInfo struct {
+	Block
+	// Since is when this instance learnt of the block, and TrialAfter the time until the
+	// feature is tried again.
+	Since      time.Time
+	TrialAfter time.Duration
+}
+
+// Blocks returns the blocked features, the oldest first.
+func (l *Ledger) Blocks(now time.Time) []BlockInfo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]BlockInfo, 0, len(l.blocks))
+	for _, b := range l.blocks {
+		list = append(list, BlockInfo{
+			Block:      b.Block,
+			Since:      b.since,
+			TrialAfter: max(b.delay()-now.Sub(b.changed), 0),
+		})
+	}
+	slices.SortFunc(list, func(a, b BlockInfo) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Feature, b.Feature))
+	})
+	return list
+}
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -12,7 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"currantstile/call"
+	"currantstile/config"
 	"currantstile/fleet"
+	"currantstile/poison"
+	"currantstile/sched"
 )
 
 // syncBuffer is a buffer for concurrent use.
@@ -59,6 +64,9 @@
 		refuses: func(_ context.Context, addr netip.AddrPort) bool {
 			return addr == ended
 		},
+		leaving: func(string) bool {
+			return false
+		},
 		log: log.Logger{
 			Writer: &log.IOWriter{
 				Writer: &out,
@@ -78,6 +86,110 @@
 	require.Eventually(t, func() bool {
 		return bytes.Count([]byte(out.String()), []byte("\n")) == 2
 	}, 2*time.Second, 5*time.Millisecond)
-	require.Contains(t, out.String(), `"target":"t1","ended":true,"requests":2,"starting":"r1","parts":"common,shared","adapters":"m0/a1"`)
-	require.Contains(t, out.String(), `"target":"t2","ended":false,"requests":1,"starting":"r3"`)
+	require.Contains(t, out.String(), `"target":"t1","ended":true,"leaving":false,"requests":2,"starting":"r1","parts":"common,shared","adapters":"m0/a1"`)
+	require.Contains(t, out.String(), `"target":"t2","ended":false,"leaving":false,"requests":1,"starting":"r3"`)
+}
+
+// blockingScreen blocks all requests after the first check, as if a feature was blocked while
+// a request waited for its target.
+type blockingScreen struct {
+	checks int
+}
+
+func (s *blockingScreen) Check(context.Context, time.Time, string, []poison.Feature) poison.Decision {
+	if s.checks++; s.checks == 1 {
+		return poison.Allowed{}
+	}
+	return poison.Blocked{
+		Feature:    "part/x",
+		RetryAfter: 7 * time.Second,
+	}
+}
+
+func (s *blockingScreen) RecordAnswered(time.Time, string, []poison.Feature) {}
+
+func (s *blockingScreen) RecordEnded(time.Time, map[string][]poison.Interrupted) {}
+
+// refusalCodec writes only the retry delay of refusals.
+type refusalCodec struct {
+	Codec
+}
+
+func (refusalCodec) SetRefusalHeader(h http.Header, _ *call.Request, retryAfter time.Duration) {
+	h.Set("Retry-After", retryAfter.String())
+}
+
+// Guards against a waiting request that is sent although a feature of it was blocked
+// meanwhile, and against a refusal that does not say truly whether it has run.
+func TestWaitingRequestIsNotSentOnceBlocked(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		maybeExecuted bool
+		want          int
+	}{
+		{
+			name: "not sent before",
+			want: http.StatusServiceUnavailable,
+		},
+		{
+			name:          "sent before",
+			maybeExecuted: true,
+			want:          http.StatusBadGateway,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg, err := config.New(config.Document{
+				Services: []config.Service{
+					{
+						Name: "s",
+					},
+				},
+			})
+			require.NoError(t, err)
+			registry := fleet.NewRegistry()
+			registry.SetTarget(fleet.Target{
+				ID:      "t1",
+				Service: "s",
+				Slots:   4,
+			})
+			registry.Publish()
+			w := httptest.NewRecorder()
+			x := &Exchange{
+				Request: &call.Request{
+					ID: "r1",
+				},
+				Route: &config.Route{
+					Services: []config.WeightedService{
+						{
+							Service: "s",
+							Weight:  1,
+						},
+					},
+				},
+				gate: &Gate{
+					Codec:  refusalCodec{},
+					Screen: &blockingScreen{},
+					Router: &Router{
+						Registry: registry,
+						Budget: &sched.RetryBudget{
+							Ratio:  1,
+							Window: 10 * time.Second,
+						},
+					},
+				},
+				cfg:           cfg,
+				w:             w,
+				maybeExecuted: c.maybeExecuted,
+			}
+			require.Nil(t, x.checkFeatures(context.Background()))
+			x.serve(context.Background())
+			require.Equal(t, c.want, w.Code)
+			require.Equal(t, "crashes-targets", x.Reason)
+			require.Equal(t, poison.Feature("part/x"), x.blockedBy)
+			require.Zero(t, x.Attempts)
+			if c.want == http.StatusServiceUnavailable {
+				require.Equal(t, "7s", w.Header().Get("Retry-After"))
+			}
+		})
+	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"currantstile/call"
 	"currantstile/config"
 	"currantstile/origin"
+	"currantstile/poison"
 	"currantstile/sched"
 )
 
@@ -49,6 +50,17 @@
 	headSent bool
 	// events splits the stream into events and records the last ID for resuming.
 	events eventSplitter
+	// features are what the request has in common with others that may crash targets, and
+	// trial is set if the request tries a blocked feature.
+	features []poison.Feature
+	trial    bool
+	// blockedBy is the feature for which the request was refused.
+	blockedBy poison.Feature
+	// sentAt is the time of the last attempt, and interrupted is set if its connection broke
+	// at the start of the answer. endedTargets counts the targets that ended then.
+	sentAt       time.Time
+	interrupted  bool
+	endedTargets int
 }
 
 // sendResult is the result of one attempt to send a request.
@@ -89,6 +101,10 @@
 	return sched.DisconnectTime(x.start, x.Deadline, x.Route.Objective, x.Route.MaxGap)
 }
 
+// maxEndedTargets is the number of targets that may end at the start of their answer to one
+// request before it is not sent again.
+const maxEndedTargets = 2
+
 // maxLoadRetries is how many times a request is sent again to a target that is
 // still loading its adapter.
 const maxLoadRetries = 4
@@ -104,7 +120,15 @@
 	for {
 		place, reason := x.gate.Router.Place(ctx, x, tried)
 		if place == nil {
-			x.fail(ctx, reason, last)
+			x.fail(ctx, &Refusal{
+				Reason:     reason,
+				RetryAfter: unsentRetryAfter,
+			}, last)
+			return
+		}
+		if refusal := x.checkAgain(ctx); refusal != nil {
+			place.release(time.Now(), endNotExecuted)
+			x.fail(ctx, refusal, last)
 			return
 		}
 		result, resp := x.send(ctx, place)
@@ -126,8 +150,11 @@
 			x.maybeExecuted = true
 			executions++
 		}
-		if !x.mayRetry(ctx, result, executions) {
-			x.fail(ctx, "target-failed", last)
+		if !x.mayRetry(ctx, place, result, executions) {
+			x.fail(ctx, &Refusal{
+				Reason:     "target-failed",
+				RetryAfter: unsentRetryAfter,
+			}, last)
 			return
 		}
 	}
@@ -135,10 +162,16 @@
 
 // mayRetry reports whether the request may be sent again. It takes a retry from
 // the retry budget if so.
-func (x *Exchange) mayRetry(ctx context.Context, result sendResult, executions int) bool {
+func (x *Exchange) mayRetry(ctx context.Context, place *Placement, result sendResult, executions int) bool {
 	if ctx.Err() != nil || executions >= max(x.Route.MaxTargets, 1) {
 		return false
 	}
+	if x.interrupted && x.gate.Conns.Refuses(ctx, place.Target.Addr) {
+		// One other target may be lost by a request that crashes targets, or none for a trial.
+		if x.endedTargets++; x.trial || x.endedTargets >= maxEndedTargets {
+			return false
+		}
+	}
 	switch result {
 	case resultNotExecuted, resultAdapterLoading:
 	case resultStreamBroken:
@@ -154,8 +187,9 @@
 }
 
 // fail ends a request that will not be sent again: with the last buffered response
-// if there is one, else with a refusal. A stream whose head was written is aborted.
-func (x *Exchange) fail(ctx context.Context, reason string, last *bufferedResponse) {
+// if there is one, else with a refusal for the given reason. The refusal's retry delay
+// counts if the request was not executed. A stream whose head was written is aborted.
+func (x *Exchange) fail(ctx context.Context, refusal *Refusal, last *bufferedResponse) {
 	switch {
 	case x.headSent:
 		x.Reason = "broken-off"
@@ -171,13 +205,13 @@
 	case x.maybeExecuted:
 		x.refuse(Refusal{
 			Status: http.StatusBadGateway,
-			Reason: reason,
+			Reason: refusal.Reason,
 		})
 	default:
 		x.refuse(Refusal{
 			Status:     http.StatusServiceUnavailable,
-			Reason:     reason,
-			RetryAfter: unsentRetryAfter,
+			Reason:     refusal.Reason,
+			RetryAfter: refusal.RetryAfter,
 		})
 	}
 }
@@ -225,6 +259,9 @@
 	if x.Org != nil {
 		line.Str("organisation", x.Org.Name).Int64("rate", x.Org.Rate)
 	}
+	if x.blockedBy != "" {
+		line.Str("feature", string(x.blockedBy))
+	}
 	if x.cfg != nil {
 		line.Uint64("configuration", x.cfg.Version)
 	}
@@ -248,6 +285,7 @@
 	x.Target = p.Target.ID
 	x.Attempts++
 	sentAt := time.Now()
+	x.sentAt, x.interrupted = sentAt, false
 	x.Waited = sentAt.Sub(x.start)
 	resp, err := x.gate.Conns.Send(ctx, origin.Request{
 		Addr:    p.Target.Addr,
@@ -301,14 +339,6 @@
 	}
 }
 
-// interruption describes the request after the connection to its target broke.
-func (x *Exchange) interruption() interruption {
-	return interruption{
-		request: x.Request,
-		events:  x.events.count,
-	}
-}
-
 // logNotExecuted logs that the target did not execute the request.
 func (x *Exchange) logNotExecuted(p *Placement, status int) {
 	x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("adapter", x.Request.AdapterName()).
@@ -326,7 +356,7 @@
 	} else {
 		p.release(sentAt, endUnreachable)
 		if maybeSent {
-			x.gate.crashes.add(p.Target, x.interruption())
+			x.recordInterruption(p)
 		}
 	}
 	if maybeSent {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"currantstile/config"
 	"currantstile/errs"
 	"currantstile/origin"
+	"currantstile/poison"
 )
 
 // Codec translates between HTTP headers and the types of package call.
@@ -69,6 +70,18 @@
 	Admit(ctx context.Context, now time.Time, id string, org *config.Organisation, cost int64) Decision
 }
 
+// Screen recognises requests that crash targets.
+type Screen interface {
+	// Check decides whether a request with the given features may be sent. TrialDue allows
+	// it as the only trial of a blocked feature.
+	Check(ctx context.Context, now time.Time, id string, features []poison.Feature) poison.Decision
+	// RecordAnswered records that a target answered a request completely.
+	RecordAnswered(now time.Time, id string, features []poison.Feature)
+	// RecordEnded records, by target, the requests whose answer was at its start when the
+	// target's process ended.
+	RecordEnded(now time.Time, ended map[string][]poison.Interrupted)
+}
+
 // Gate is the HTTP server for callers. Its exported fields must be set before
 // Start.
 type Gate struct {
@@ -78,6 +91,7 @@
 	// loaded.
 	Config  func() *config.Config
 	Limiter Limiter
+	Screen  Screen
 	Router  *Router
 	Conns   *origin.Pool
 	// ObserveRequest is called after each request, for metrics; it may be nil.
@@ -112,6 +126,8 @@
 	}
 	g.boundAddr = ln.Addr().(*net.TCPAddr).AddrPort()
 	g.crashes.refuses = g.Conns.Refuses
+	g.crashes.leaving = g.Router.isLeaving
+	g.crashes.screen = g.Screen
 	g.crashes.log = g.Log
 	g.server = &http.Server{
 		Handler:           g,
@@ -256,6 +272,9 @@
 	if refusal := g.readBody(x, r); refusal != nil {
 		return refusal
 	}
+	if refusal := x.checkFeatures(r.Context()); refusal != nil {
+		return refusal
+	}
 	return g.applyRateLimit(r.Context(), x)
 }
 
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -89,6 +89,7 @@
 		return resultUnknown, nil
 	}
 	x.FirstByte = time.Since(sentAt)
+	x.recordAnswered()
 	buffered := &bufferedResponse{
 		status: resp.StatusCode,
 		header: resp.Header,
@@ -160,6 +161,7 @@
 		switch {
 		case err == io.EOF:
 			p.release(sentAt, endComplete)
+			x.recordAnswered()
 			x.Reason = "answered"
 			return resultDone
 		case err != nil:
@@ -187,7 +189,7 @@
 		p.release(sentAt, endCancelled)
 	} else {
 		p.release(sentAt, endUnreachable)
-		x.gate.crashes.add(p.Target, x.interruption())
+		x.recordInterruption(p)
 	}
 	if x.headSent {
 		return resultStreamBroken
