A stream that ends inside an event is broken off, whatever its framing

What callers saw: a target that broke off an answer without length or chunks ended it with half an event, and the caller got it as a complete success; the answer would also have cleared the part of the prompt on which the target crashed. Cause: at the end of the body the rest after the last blank line was relayed as part of a complete answer. Change: data of an unfinished event, or no event at all, at the end makes the stream broken (resumed where it may be); blank lines end in CR LF too; comments after the last event stay. Evidence: TestStreamEndingInsideAnEventIsBrokenOff failed in five of nine cases, now passes; FuzzEventSplitter 20 s without a finding (its first run failed on the test's own comparison of nil and empty, mended).

--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -137,8 +137,14 @@
 			lastRead = now
 		}
 		events := x.events.add(buf[:n])
+		if err == io.EOF && hasEvents(resp.Header) && (x.events.insideEvent() || x.events.count == 0) {
+			// The framing cannot tell if the target broke off: an answer may end with its
+			// connection.
+			err = io.ErrUnexpectedEOF
+			resp.Response.Close = true
+		}
 		if err == io.EOF {
-			// Data after the last blank line is part of the response as well.
+			// Comments after the last event are part of the response as well.
 			events = append(events, x.events.takeRemainder()...)
 		}
 		if err == nil && len(x.events.partial) > maxEventBytes {
@@ -219,21 +225,49 @@
 	count  int
 }
 
+// eventEnds are the ends of an event: a blank line, with either kind of line end.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
 // add appends bytes and returns the events that are now complete.
 func (e *eventSplitter) add(b []byte) []byte {
 	e.partial = append(e.partial, b...)
-	end := bytes.LastIndex(e.partial, []byte("\n\n"))
-	if end < 0 {
+	end := 0
+	for _, mark := range eventEnds {
+		if i := bytes.LastIndex(e.partial, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	if end == 0 {
 		return nil
 	}
-	end += 2
 	events := append([]byte(nil), e.partial[:end]...)
 	e.partial = append(e.partial[:0], e.partial[end:]...)
-	e.count += bytes.Count(events, []byte("\n\n"))
+	for _, mark := range eventEnds {
+		e.count += bytes.Count(events, mark)
+	}
 	e.updateLastID(events)
 	return events
 }
 
+// insideEvent reports whether the data after the last complete event belongs to another
+// event. Blank lines and comments do not.
+func (e *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(e.partial) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// hasEvents reports whether a response is a stream of events by its media type. One without
+// a media type is, since only streams are relayed here.
+func hasEvents(h http.Header) bool {
+	media, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	media = strings.TrimSpace(media)
+	return media == "" || strings.EqualFold(media, "text/event-stream")
+}
+
 // takeRemainder removes and returns the data after the last complete event.
 func (e *eventSplitter) takeRemainder() []byte {
 	remainder := e.partial
