Soak: prompts that crash engines, beside the other faults

Cause: the soak played no fault that travels with requests, so it could not have found the incident's. Change: a fault sends requests with a crashing part of a prompt; after the faults instances are checked for the bound of three later crashes; the stand-in of requests can carry another shared part.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -121,6 +121,36 @@
 	return noop
 }
 
+// crashTime is for how long an engine that crashed is away.
+const crashTime = 700 * time.Millisecond
+
+// crashEngine ends an engine as a crash of its process does: its connections break and new
+// ones are refused. It comes back without its model and adapters.
+func (e *testEnv) crashEngine(w *fake.Worker) {
+	p := e.targetProxies[w.ID]
+	p.Stop()
+	time.AfterFunc(crashTime, func() {
+		w.Restart()
+		// If another socket has taken the port meanwhile, the engine stays away.
+		if p.Start() == nil {
+			e.register(w, "llm", "ready")
+		}
+	})
+}
+
+// sendCrashingPrompts sends some requests with the crashing part of a prompt, no two alike.
+func sendCrashingPrompts(e *testEnv, rng *rand.Rand) func() {
+	var wg sync.WaitGroup
+	for range 1 + rng.IntN(3) {
+		id := fmt.Sprintf("crash-%x", rng.Uint64())
+		n := e.instances[rng.IntN(len(e.instances))]
+		wg.Go(func() {
+			e.rec.sendCrashing(n, id)
+		})
+	}
+	return wg.Wait
+}
+
 // drainTarget drains a random target; the end of the fault makes it ready again.
 func drainTarget(e *testEnv, rng *rand.Rand) func() {
 	w, service := e.engines[rng.IntN(len(e.engines))], "llm"
@@ -194,6 +224,10 @@
 			return noop
 		},
 	},
+	{
+		name:   "crashing-prompt",
+		inject: sendCrashingPrompts,
+	},
 	{
 		name: "configuration",
 		inject: func(e *testEnv, _ *rand.Rand) func() {
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -82,6 +82,8 @@
 	violations        []string
 	servedByKind      map[string]int
 	responsesByStatus map[int]int
+	// crashes are the times at which engines crashed on a prompt.
+	crashes []time.Time
 }
 
 // targetRun is the execution of a request at a target.
@@ -106,6 +108,47 @@
 	rec.violations = append(rec.violations, fmt.Sprintf(format, args...))
 }
 
+// crashingPart is the part of a prompt on which engines crash.
+const crashingPart = "bad0"
+
+// engineHandler returns the handler of requests at an engine, which crashes in the first event
+// of its answer to a prompt with crashingPart.
+func (e *testEnv) engineHandler(w *fake.Worker, rng *rand.Rand) http.HandlerFunc {
+	next := e.rec.targetHandler(rng)
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if !fake.HasPart(r, crashingPart) {
+			next(rw, r)
+			return
+		}
+		e.rec.recordRun(fake.RequestID(r), r)
+		fake.SetSignature(rw)
+		_, _ = io.WriteString(rw, "id: 1\nda")
+		_ = http.NewResponseController(rw).Flush()
+		e.rec.mu.Lock()
+		e.rec.crashes = append(e.rec.crashes, time.Now())
+		e.rec.mu.Unlock()
+		e.crashEngine(w)
+	}
+}
+
+// crashCount returns the number of engines that crashed on a prompt.
+func (rec *recorder) crashCount() int {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return len(rec.crashes)
+}
+
+// sendCrashing sends a request with crashingPart and returns the status of its response.
+func (rec *recorder) sendCrashing(n *instance, id string) int {
+	client := &http.Client{
+		Timeout: 4 * time.Second,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	return rec.sendPart(client, n, requestKinds[0], id, "k1", "a0", crashingPart)
+}
+
 // targetHandler returns the handler of requests at a target. It rejects about 1 in 20
 // requests as not executed and aborts about 1 in 25 of the other responses before their end.
 func (rec *recorder) targetHandler(rng *rand.Rand) http.HandlerFunc {
@@ -192,6 +235,11 @@
 // send sends a request and checks the response. It returns the response's status, or 0 if
 // no complete response was received.
 func (rec *recorder) send(client *http.Client, n *instance, k requestKind, id, key, adapter string) int {
+	return rec.sendPart(client, n, k, id, key, adapter, "")
+}
+
+// sendPart is send with the part that the prompt shares with others.
+func (rec *recorder) sendPart(client *http.Client, n *instance, k requestKind, id, key, adapter, part string) int {
 	rec.mu.Lock()
 	rec.kindByID[id] = k
 	rec.mu.Unlock()
@@ -203,7 +251,7 @@
 		Timeout: 3 * time.Second,
 	}
 	if k.adapter {
-		c.Adapter = adapter
+		c.Adapter, c.Part = adapter, part
 	}
 	r, err := c.HTTPRequest(n.callerAddr)
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,8 +14,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
-
-	"currantstile/platform/fake"
 )
 
 var (
@@ -83,8 +81,11 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
 	e := newTestEnv(t, seed, binary, dir)
-	rec := newRecorder()
-	for _, w := range append(append([]*fake.Worker{}, e.engines...), e.services...) {
+	rec := e.rec
+	for _, w := range e.engines {
+		w.SetHandler(e.engineHandler(w, rand.New(rand.NewPCG(seed, rng.Uint64()))))
+	}
+	for _, w := range e.services {
 		w.SetHandler(rec.targetHandler(rand.New(rand.NewPCG(seed, rng.Uint64()))))
 	}
 	e.awaitServing(rec, "start")
@@ -99,6 +100,8 @@
 	e.injectFaults(rng, until)
 	wg.Wait()
 	e.awaitServing(rec, "healed")
+	e.checkCrashingPrompts()
+	e.awaitServing(rec, "crashed")
 	e.checkWithdrawals(rec)
 	violations := rec.finalViolations()
 	for _, w := range e.engines {
@@ -135,6 +138,35 @@
 	}
 }
 
+const (
+	// stableWindow is the time after the fifth crash on a prompt part from which no more than
+	// maxLateCrashes requests with it may reach targets.
+	stableWindow   = 3 * time.Second
+	maxLateCrashes = 3
+)
+
+// checkCrashingPrompts sends requests with a crashing part of a prompt while no fault is
+// active, until they are refused or five engines have crashed, and checks that few more do.
+func (e *testEnv) checkCrashingPrompts() {
+	send := func(n int) int {
+		return e.rec.sendCrashing(e.instances[n%len(e.instances)], fmt.Sprint("calm-crash-", n))
+	}
+	const fifth = 5
+	before := e.rec.crashCount()
+	for n := 0; n < 4*fifth && e.rec.crashCount() < before+fifth && send(n) != http.StatusServiceUnavailable; n++ {
+		time.Sleep(crashTime / 2)
+	}
+	time.Sleep(stableWindow)
+	before = e.rec.crashCount()
+	for n := range 3 * maxLateCrashes {
+		send(1000 + n)
+		time.Sleep(crashTime / 4)
+	}
+	if late := e.rec.crashCount() - before; late > maxLateCrashes {
+		e.rec.addViolation("%d engines crashed on a prompt part later than %s after the fifth", late, stableWindow)
+	}
+}
+
 // checkWithdrawals withdraws an API key and drains a target while no fault is active, and
 // checks that every instance applies both within applyTimeout.
 func (e *testEnv) checkWithdrawals(rec *recorder) {
--- a/soak/testenv_test.go
+++ b/soak/testenv_test.go
@@ -53,6 +53,7 @@
 	engines   []*fake.Worker
 	services  []*fake.Worker
 	instances []*instance
+	rec       *recorder
 	// storeProxies are the proxies between instances and the store, by index of the instance;
 	// targetProxies are those in front of targets, by target ID.
 	storeProxies  []*toxiproxy.Proxy
@@ -82,6 +83,7 @@
 		store:         fake.NewStore(t),
 		targetProxies: make(map[string]*toxiproxy.Proxy),
 		keys:          []string{"k1", "k2"},
+		rec:           newRecorder(),
 		configVersion: 1,
 	}
 	e.writeNextConfig()
