Crashes of a target that restarts under its ID count each time

Cause: ends were counted by target ID, and two engines that restarted under their IDs never made three. Evidence: rounds of part/bad0 rose to 8 in the reports while the targets were llm-1 and llm-2 only. Change: an end is named by ID and start time of the process, which tells incarnations apart; the stand-in's start time changes with each restart.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -92,8 +92,10 @@
 	Round int `json:"round"`
 }
 
-// EndedTarget is a target whose process ended, with the features that may be the cause.
+// EndedTarget is an incarnation of a target that ended, with the features that may be the
+// cause.
 type EndedTarget struct {
+	// Target names the incarnation, so that a target which crashes again counts again.
 	Target   string    `json:"target"`
 	Suspects []Suspect `json:"suspects"`
 }
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -95,7 +96,7 @@
 			if starting := t.starting(); refused && !leaving && len(starting) > 0 {
 				mu.Lock()
 				defer mu.Unlock()
-				ended[id] = starting
+				ended[t.incarnation()] = starting
 			}
 		})
 	}
@@ -105,6 +106,12 @@
 	}
 }
 
+// incarnation names the run of the target's process that ended: a target may restart under
+// its ID.
+func (t *interruptedTarget) incarnation() string {
+	return fmt.Sprintf("%s@%d", t.target.ID, t.target.Started)
+}
+
 // starting returns the requests whose answer was at its start.
 func (t *interruptedTarget) starting() []poison.Interrupted {
 	var list []poison.Interrupted
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -77,8 +77,8 @@
 	Check(ctx context.Context, now time.Time, id string, features []poison.Feature) poison.Decision
 	// RecordAnswered records that a target answered a request completely.
 	RecordAnswered(now time.Time, id string, features []poison.Feature)
-	// RecordEnded records, by target, the requests whose answer was at its start when the
-	// target's process ended.
+	// RecordEnded records, by incarnation of a target, the requests whose answer was at its
+	// start when the target's process ended.
 	RecordEnded(now time.Time, ended map[string][]poison.Interrupted)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -158,9 +158,9 @@
 	}
 	time.Sleep(stableWindow)
 	before = e.rec.crashCount()
-	for n := range 3 * maxLateCrashes {
+	for n := range 4 * maxLateCrashes {
 		send(1000 + n)
-		time.Sleep(crashTime / 4)
+		time.Sleep(crashTime / 2)
 	}
 	if late := e.rec.crashCount() - before; late > maxLateCrashes {
 		e.rec.addViolation("%d engines crashed on a prompt part later than %s after the fifth", late, stableWindow)
