--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -136,19 +136,8 @@
 			}
 			lastRead = now
 		}
-		events := x.events.add(buf[:n])
-		if err == io.EOF && hasEvents(resp.Header) && (x.events.insideEvent() || x.events.count == 0) {
-			// The framing cannot tell if the target broke off: an answer may end with its
-			// connection.
-			err = io.ErrUnexpectedEOF
-			resp.Response.Close = true
-		}
-		if err == io.EOF {
-			// Comments after the last event are part of the response as well.
-			events = append(events, x.events.takeRemainder()...)
-		}
-		if err == nil && len(x.events.partial) > maxEventBytes {
-			err = errEventTooLarge
+		events, err := x.events.next(buf[:n], err, hasEvents(resp.Header))
+		if errors.Is(err, errEventTooLarge) || errors.Is(err, errInsideEvent) {
 			resp.Response.Close = true
 		}
 		if len(events) > 0 || err == io.EOF {
@@ -179,8 +168,12 @@
 	}
 }
 
-// errEventTooLarge ends a stream whose event does not end within maxEventBytes.
-var errEventTooLarge = errors.New("event of the stream is too large")
+var (
+	// errEventTooLarge ends a stream whose event does not end within maxEventBytes.
+	errEventTooLarge = errors.New("event of the stream is too large")
+	// errInsideEvent is the error of a stream that ended inside an event, or without any.
+	errInsideEvent = errors.New("stream ended inside an event")
+)
 
 // maxStall returns how long a stream may go on without a whole event.
 func (x *Exchange) maxStall() time.Duration {
@@ -225,6 +218,25 @@
 	count  int
 }
 
+// next returns the events that are complete after a read of b with the given error, and that
+// error or a more exact one. The framing does not always tell whether a target broke off,
+// since an answer may end with its connection: a stream that hasEvents is complete only
+// after whole events.
+func (e *eventSplitter) next(b []byte, err error, hasEvents bool) ([]byte, error) {
+	events := e.add(b)
+	switch {
+	case err == nil && len(e.partial) > maxEventBytes:
+		return events, errEventTooLarge
+	case err != io.EOF:
+		return events, err
+	case hasEvents && (e.insideEvent() || e.count == 0):
+		return events, errInsideEvent
+	default:
+		// Comments after the last event are part of the response as well.
+		return append(events, e.takeRemainder()...), err
+	}
+}
+
 // eventEnds are the ends of an event: a blank line, with either kind of line end.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
