Requests wait for tokens when all instances have just started

What callers saw: for one to two seconds after all instances were killed nearly every request got 429 with a Retry-After of some milliseconds, came back once and got it again. Cause: a restarted instance holds its share at once by the membership record, but relied on it only when a store reader's message arrived, up to a second later; and its buckets start empty, while a request waited 150 ms at most and all took and returned tokens at the same time. Change: the instance's own listing shows that the record is current; for four seconds after the start requests wait up to 0.7 s for tokens, in turn for each organisation. Limits hold as before: a request is sent once its tokens have accrued.

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"currantstile/broker"
@@ -21,6 +22,15 @@
 	// available. minWait is the shortest wait that is worth a timer.
 	maxWait = 150 * time.Millisecond
 	minWait = 5 * time.Millisecond
+	// maxListingAge is how long this instance's own listing of the store shows that the
+	// membership record is up to date: much less than what EvenReclaimDelay exceeds
+	// EvenShareTTL by.
+	maxListingAge = 500 * time.Millisecond
+	// startPeriod is how long after its start an instance lets requests wait up to
+	// startWait for tokens, one at a time for each organisation: its buckets start empty,
+	// through no fault of the organisations.
+	startPeriod = 4 * time.Second
+	startWait   = 700 * time.Millisecond
 	// membershipKey is the store key of the membership record: the instances that
 	// share the limits.
 	membershipKey = elect.Prefix + "limits/roll"
@@ -33,6 +43,8 @@
 	ledger    *quota.Ledger
 	allocator *broker.EvenAllocator
 	acquirer  *broker.TokenAcquirer
+	// turns holds for each organisation the right to take tokens after the start.
+	turns sync.Map
 	// loggedShare is the usable share at the last log line, in millionths.
 	loggedShare int64
 }
@@ -50,8 +62,10 @@
 		RecordKey: membershipKey,
 		Ledger:    l.ledger,
 		Alive:     l.liveInstances,
-		Current:   n.hub.Current,
-		Log:       n.Log,
+		Current: func(now time.Time) bool {
+			return n.hub.Current(now) || n.instanceFollower.ListedWithin(now, maxListingAge)
+		},
+		Log: n.Log,
 	}
 	l.acquirer = &broker.TokenAcquirer{
 		Self:      n.Settings.Name,
@@ -133,6 +147,9 @@
 func (l *limiter) Admit(ctx context.Context, now time.Time, id string, org *config.Organisation, cost int64) proxy.Decision {
 	limits := quotaLimits(org)
 	name := model.OrgID(org.Name)
+	if now.Sub(l.node.started) < startPeriod && l.acquireInTurn(ctx, now, name, limits, cost) {
+		return proxy.Admitted{}
+	}
 	wait, ok := l.acquirer.Acquire(ctx, now, name, limits, cost)
 	if !ok && wait <= maxWait && clock.Sleep(ctx, max(wait, minWait)) {
 		wait, ok = l.acquirer.Acquire(ctx, time.Now(), name, limits, cost)
@@ -147,6 +164,29 @@
 	}
 }
 
+// acquireInTurn takes the tokens of a request while the buckets of a starting instance fill,
+// waiting for them up to startWait.
+func (l *limiter) acquireInTurn(ctx context.Context, now time.Time, org model.OrgID, limits quota.Limits, cost int64) bool {
+	ctx, cancel := context.WithDeadline(ctx, now.Add(startWait))
+	defer cancel()
+	v, _ := l.turns.LoadOrStore(org, make(chan struct{}, 1))
+	turn := v.(chan struct{})
+	select {
+	case turn <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() {
+		<-turn
+	}()
+	for {
+		wait, ok := l.acquirer.Acquire(ctx, time.Now(), org, limits, cost)
+		if ok || !clock.Sleep(ctx, min(max(wait, minWait), maxWait)) {
+			return ok
+		}
+	}
+}
+
 func (l *limiter) service() *LimitService {
 	return &LimitService{
 		limiter: l,
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -71,6 +71,8 @@
 
 	// listedOnce is set by the first listing. Unlike Listed it is read without mu.
 	listedOnce atomic.Bool
+	// listedAt is when the last complete listing was begun, in Unix nanoseconds.
+	listedAt atomic.Int64
 
 	mu      sync.Mutex
 	entries map[string]store.Entry
@@ -106,6 +108,12 @@
 	return f.listedOnce.Load()
 }
 
+// ListedWithin reports whether a complete listing was begun at most d ago.
+func (f *Follower) ListedWithin(now time.Time, d time.Duration) bool {
+	at := f.listedAt.Load()
+	return at != 0 && now.UnixNano()-at <= int64(d)
+}
+
 // Lookup returns the last known entry of a key.
 func (f *Follower) Lookup(key string) (store.Entry, bool) {
 	f.mu.Lock()
@@ -166,6 +174,7 @@
 
 // list reads all keys, and adds a deletion for each known key that is not listed.
 func (f *Follower) list(ctx context.Context) error {
+	begun := time.Now()
 	b, err := f.KV.List(ctx, f.Prefix)
 	if err != nil {
 		return err
@@ -187,6 +196,7 @@
 	}
 	f.mu.Unlock()
 	f.update(entries, b.Revision, true)
+	f.listedAt.Store(begun.UnixNano())
 	return nil
 }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -280,3 +280,13 @@
 	})
 	require.Equal(t, time.Minute, now.Sub(h.LastOutage()), "a reader in sync for a shorter time must not move it forward")
 }
+
+// Guards against an instance that has just listed the store itself and does not rely on it
+// until a reader's message arrives, up to a second later when all instances start.
+func TestListingShowsThatThePrefixIsCurrent(t *testing.T) {
+	p := newFollowerPair(t)
+	now := time.Now()
+	require.True(t, p.reader.ListedWithin(now, time.Minute))
+	require.False(t, p.reader.ListedWithin(now.Add(time.Hour), time.Minute))
+	require.False(t, (&Follower{}).ListedWithin(now, time.Minute))
+}
