Log and count what requests wait for before they are sent

Cause: `waited` gave a sum, so that on-call engineers could not tell the wait for a load slot from that for an adapter's place or for earlier prompts. Change: managers reply how they spent the time on an admission request; `waits` in gate: request and currantstile_wait_milliseconds_total by cause.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -282,6 +282,7 @@
 func (m *Manager) decide(mt *managedTarget, req sched.AdmissionRequest) wire.AdmissionReply {
 	start := time.Now()
 	limit, left := req.Limit, req.Left
+	var waits wire.AdmissionWaits
 	for now := start; now.Sub(start) < admissionTimeout; now = time.Now() {
 		// Time spent waiting here reduces the time left to wait at other targets.
 		req.Limit, req.Left = limit-now.Sub(start), left-now.Sub(start)
@@ -295,11 +296,13 @@
 				Granted:  true,
 				After:    d.After,
 				Expected: d.Expected,
+				Waits:    waits,
 			}
 		case sched.Declined:
 			return wire.AdmissionReply{
 				Reason:   d.Reason,
 				Expected: d.Expected,
+				Waits:    waits,
 			}
 		case sched.Load:
 			if !m.load(mt, d) {
@@ -322,12 +325,26 @@
 			case <-time.After(orderWait):
 			}
 		}
+		*waitOf(&waits, d) += time.Since(now)
 	}
 	return wire.AdmissionReply{
+		Waits:  waits,
 		Reason: sched.ReasonAdapterSlots,
 	}
 }
 
+// waitOf returns the wait to which the time after a decision counts.
+func waitOf(w *wire.AdmissionWaits, d sched.Decision) *time.Duration {
+	switch d.(type) {
+	case sched.Queued:
+		return &w.Prompts
+	case sched.LoadSlotRequired:
+		return &w.LoadSlot
+	default:
+		return &w.Orders
+	}
+}
+
 // RecordProgress applies progress updates of granted requests.
 func (m *Manager) RecordProgress(args wire.ProgressArgs) {
 	for _, progress := range args.Targets {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -55,6 +55,9 @@
 // zero if there was no response. Routes beyond maxHistograms are only counted.
 func (m *metrics) recordRequest(route, org string, e *proxy.Exchange) {
 	m.counters.Add(fmt.Sprintf("requests_total{route=%q,organisation=%q,status=%q,reason=%q}", route, org, strconv.Itoa(e.Status), e.Reason), 1)
+	e.EachWait(func(cause string, d time.Duration) {
+		m.counters.Add(fmt.Sprintf("wait_milliseconds_total{cause=%q}", cause), d.Milliseconds())
+	})
 	if e.FirstByte == 0 {
 		return
 	}
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -27,6 +27,7 @@
 		if p != nil || !time.Now().Before(retryDeadline) || !clock.Sleep(ctx, sched.AttemptInterval) {
 			return p, reason
 		}
+		x.waits.addPause(sched.AttemptInterval)
 	}
 }
 
@@ -76,6 +77,9 @@
 			if reply.Reason != "" {
 				reason = string(reply.Reason)
 			}
+			if i == 0 {
+				x.waits.first = reply.Reason
+			}
 			expected[t.ID] = reply.Expected
 		}
 	}
@@ -183,7 +187,9 @@
 			Asks:     demandWeight,
 		},
 	}
+	asked := time.Now()
 	reply := r.callManager(ctx, view, p, args)
+	x.waits.record(time.Since(asked), &reply)
 	r.demand.Merge(time.Now(), x.Request.AdapterName(), reply.Demand)
 	r.recordPrefillWindow(t.Service, reply.Window)
 	x.gate.Log.Debug().Str("request", x.Request.ID).Str("target", t.ID).Bool("granted", reply.Granted).
@@ -191,6 +197,7 @@
 	if !reply.Granted {
 		return nil, reply
 	}
+	x.waits.add("load", reply.After)
 	if reply.After > 0 && !clock.Sleep(ctx, reply.After) {
 		p.release(time.Now(), endNotExecuted)
 		return nil, wire.AdmissionReply{}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -37,6 +37,8 @@
 	FirstByte time.Duration
 	MaxPause  time.Duration
 
+	// waits is how the time until the last attempt was spent.
+	waits waits
 	gate  *Gate
 	cfg   *config.Config
 	w     http.ResponseWriter
@@ -266,7 +268,7 @@
 		line.Uint64("configuration", x.cfg.Version)
 	}
 	line.Str("target", x.Target).Int("sent", x.Attempts).Int("status", x.Status).Str("reason", x.Reason).
-		Dur("waited", x.Waited).Dur("first", x.FirstByte).Dur("pause", x.MaxPause).Dur("took", elapsed).Msg("gate: request")
+		Str("waits", x.waits.String()).Dur("waited", x.Waited).Dur("first", x.FirstByte).Dur("pause", x.MaxPause).Dur("took", elapsed).Msg("gate: request")
 	if x.gate.ObserveRequest != nil {
 		route, org := "", ""
 		if x.Route != nil {
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -35,11 +35,22 @@
 	// Demand is the rate of prompt tokens per second requested for the adapter,
 	// summed over all instances, as far as the target's manager knows.
 	Demand float64
+	// Waits is how the manager spent its time on the request.
+	Waits AdmissionWaits
 	// Window is how many prompt tokens the target may have unread; see
 	// sched.PrefillWindow. 0 means unknown.
 	Window int64
 }
 
+// AdmissionWaits is how long an admission request waited at a manager, by cause.
+type AdmissionWaits struct {
+	// Prompts is the wait until earlier prompts were read, LoadSlot that for the right to
+	// fetch the adapter, and Orders that for orders to be accepted.
+	Prompts  time.Duration
+	LoadSlot time.Duration
+	Orders   time.Duration
+}
+
 // ProgressArgs reports progress updates of granted requests to a manager.
 type ProgressArgs struct {
 	Targets []TargetProgress
