Log the framing of answers, their events and the caller's protocol

Cause: gate: request said answered for an answer taken for complete, whatever had marked its end, so that the three hypotheses looked alike.

--- a/itest/layers_test.go
+++ b/itest/layers_test.go
@@ -17,7 +17,7 @@
 var layers = [][]string{
 	{"model", "errs", "metric", "shard", "store", "memkv", "clock", "config", "fleet"},
 	{"commit", "member", "dedup", "allot", "quota", "cache", "route", "sched", "watch", "elect", "poison"},
-	{"wire", "call"},
+	{"wire", "call", "stream"},
 	{"rest", "httpd", "remote", "peer", "engine", "loader", "send", "broker", "public", "admin", "origin", "driver", "proxy"},
 	{"node", "platform"},
 	{"daemon", "sims", "demo", "trial", "itest", "soak", "cmd"},
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"currantstile/origin"
 	"currantstile/poison"
 	"currantstile/sched"
+	"currantstile/stream"
 )
 
 // Exchange is the state of a request that the gate is processing.
@@ -36,13 +37,17 @@
 	Waited    time.Duration
 	FirstByte time.Duration
 	MaxPause  time.Duration
+	// Framing is the framing of the last target's response; zero if there was none.
+	Framing stream.Framing
 
 	// waits is how the time until the last attempt was spent.
 	waits waits
 	gate  *Gate
 	cfg   *config.Config
 	w     http.ResponseWriter
-	start time.Time
+	// protocol is the caller's version of HTTP.
+	protocol string
+	start    time.Time
 	// budgetCounted is set once the request has been counted in the retry budget of
 	// its service.
 	budgetCounted bool
@@ -268,6 +273,7 @@
 		line.Uint64("configuration", x.cfg.Version)
 	}
 	line.Str("target", x.Target).Int("sent", x.Attempts).Int("status", x.Status).Str("reason", x.Reason).
+		Str("framing", x.Framing.String()).Int("events", x.events.count).Str("protocol", x.protocol).
 		Str("waits", x.waits.String()).Dur("waited", x.Waited).Dur("first", x.FirstByte).Dur("pause", x.MaxPause).Dur("took", elapsed).Msg("gate: request")
 	if x.gate.ObserveRequest != nil {
 		route, org := "", ""
@@ -289,6 +295,7 @@
 	sentAt := time.Now()
 	x.sentAt, x.interrupted = sentAt, false
 	x.Waited = sentAt.Sub(x.start)
+	x.Framing = 0
 	resp, err := x.gate.Conns.Send(ctx, origin.Request{
 		Addr:    p.Target.Addr,
 		Method:  x.Request.Method,
@@ -310,6 +317,7 @@
 		return x.handleSendError(ctx, p, sentAt, err), nil
 	}
 	defer resp.Close()
+	x.Framing = stream.FramingOf(resp.Response)
 	info := x.gate.Codec.ParseResponse(resp.Header)
 	if info.HasLoad {
 		p.reportLoad(info)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -200,9 +200,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &Exchange{
-		gate:  g,
-		w:     w,
-		start: now,
+		gate:     g,
+		w:        w,
+		protocol: r.Proto,
+		start:    now,
 	}
 	defer x.finish()
 	if refusal := g.prepare(now, x, r); refusal != nil {
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -161,7 +161,8 @@
 			return resultDone
 		case err != nil:
 			x.events.partial = x.events.partial[:0]
-			x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("event", x.events.lastID).
+			x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("framing", x.Framing.String()).
+				Int("events", x.events.count).Str("event", x.events.lastID).
 				Str("adapter", x.Request.AdapterName()).Str("parts", x.Request.PartNames()).Err(err).Msg("gate: stream broken; partial event discarded")
 			return x.handleBrokenStream(ctx, p, sentAt)
 		}
