One decision whether the body of an answer is complete

What callers saw: 200, the signature of a target that had crashed, a short body framed as complete. Cause: the end of a body was believed without evidence that the body is whole, in three places, each with rules of its own: events of an earlier run counted for the run that ended, comments and blank lines counted as events, and the end of a connection counted as the end of the answer although the target had ended with it. Change: stream.Judge, a pure function of framing, error, events of this run and of earlier ones, rest, event due and whether the target's process ended; both readers of proxy call it. An answer clears a crashing feature, and counts for its target, only once it is judged complete, signed and no failure; crashes at the start of a resumed run count.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -146,7 +146,7 @@
 		request:  x.Request,
 		features: x.features,
 		sentAt:   x.sentAt,
-		events:   x.events.count,
+		events:   x.events.Events(),
 	}
 	x.interrupted = i.starting()
 	x.gate.crashes.add(p.Target, i)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -56,7 +56,7 @@
 	// headSent is set once the head of a stream has been written to the caller.
 	headSent bool
 	// events splits the stream into events and records the last ID for resuming.
-	events eventSplitter
+	events stream.Splitter
 	// features are what the request has in common with others that may crash targets, and
 	// trial is set if the request tries a blocked feature.
 	features []poison.Feature
@@ -273,7 +273,7 @@
 		line.Uint64("configuration", x.cfg.Version)
 	}
 	line.Str("target", x.Target).Int("sent", x.Attempts).Int("status", x.Status).Str("reason", x.Reason).
-		Str("framing", x.Framing.String()).Int("events", x.events.count).Str("protocol", x.protocol).
+		Str("framing", x.Framing.String()).Int("events", x.events.AllEvents()).Str("protocol", x.protocol).
 		Str("waits", x.waits.String()).Dur("waited", x.Waited).Dur("first", x.FirstByte).Dur("pause", x.MaxPause).Dur("took", elapsed).Msg("gate: request")
 	if x.gate.ObserveRequest != nil {
 		route, org := "", ""
@@ -296,6 +296,7 @@
 	x.sentAt, x.interrupted = sentAt, false
 	x.Waited = sentAt.Sub(x.start)
 	x.Framing = 0
+	x.events.BeginRun()
 	resp, err := x.gate.Conns.Send(ctx, origin.Request{
 		Addr:    p.Target.Addr,
 		Method:  x.Request.Method,
@@ -404,8 +405,8 @@
 
 // resumeEventID returns the ID of the event after which the stream continues.
 func (x *Exchange) resumeEventID() string {
-	if x.events.lastID != "" {
-		return x.events.lastID
+	if id, _ := x.events.ResumeID(); id != "" {
+		return id
 	}
 	return x.Request.LastEventID
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,18 +1,16 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"currantstile/call"
 	"currantstile/origin"
 	"currantstile/sched"
+	"currantstile/stream"
 )
 
 const (
@@ -22,11 +20,12 @@
 	// maxDrainBytes is the maximum number of bytes read from a response that is
 	// not relayed.
 	maxDrainBytes = 4 << 10
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
 	// stallFactor is by how much the longest time between two events exceeds that after
 	// which callers leave, so that no stream is ended while its caller still waits.
 	stallFactor = 1.25
+	// senderCheckTimeout bounds the attempt to connect to a target whose answer ended with its
+	// connection: several times the longest round trip.
+	senderCheckTimeout = 150 * time.Millisecond
 	// streamBufferSize is the size of the read buffer for streams.
 	streamBufferSize = 4 << 10
 )
@@ -78,18 +77,24 @@
 // is not written but returned, since the request may be retried.
 func (x *Exchange) relayBuffered(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response, info call.ResponseInfo) (sendResult, *bufferedResponse) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody || resp.Header.Get("Content-Encoding") != "" {
-		x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Err(err).Msg("gate: response incomplete, too large or encoded; discarded")
+	verdict := x.judgeBody(ctx, p, resp, body, err)
+	broken, isBroken := verdict.(stream.BrokenOff)
+	if isBroken || len(body) > maxBufferedBody || resp.Header.Get("Content-Encoding") != "" {
+		x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("framing", x.Framing.String()).Err(broken.Reason).
+			Msg("gate: response incomplete, too large or encoded; discarded")
 		resp.Response.Close = true
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			p.release(sentAt, endCancelled)
-		} else {
+		case isBroken:
+			p.release(sentAt, endFailed)
+			x.recordInterruption(p)
+		default:
 			p.release(sentAt, endFailed)
 		}
 		return resultUnknown, nil
 	}
 	x.FirstByte = time.Since(sentAt)
-	x.recordAnswered()
 	buffered := &bufferedResponse{
 		status: resp.StatusCode,
 		header: resp.Header,
@@ -105,6 +110,7 @@
 		return resultUnknown, nil
 	}
 	p.release(sentAt, endComplete)
+	x.recordAnswered()
 	if x.headSent {
 		// A buffered response cannot continue a stream that is being resumed.
 		return resultFailed, nil
@@ -114,9 +120,36 @@
 	return resultDone, nil
 }
 
+// judgeBody decides whether a buffered body is complete. A nil err is the end of the body.
+func (x *Exchange) judgeBody(ctx context.Context, p *Placement, resp *origin.Response, body []byte, err error) stream.Verdict {
+	var events stream.Splitter
+	hasEvents := stream.IsEventStream(resp.Header, false)
+	if err == nil {
+		err = io.EOF
+	}
+	if hasEvents {
+		if _, splitErr := events.Add(body); splitErr != nil {
+			err = splitErr
+		}
+	}
+	return x.judge(ctx, p, events.Ending(x.Framing, hasEvents, err))
+}
+
+// judge decides whether a body is complete. If that depends on whether the target's process
+// ended with it, it tries to connect to the target.
+func (x *Exchange) judge(ctx context.Context, p *Placement, e stream.Ending) stream.Verdict {
+	if e.DependsOnSender() {
+		ctx, cancel := context.WithTimeout(ctx, senderCheckTimeout)
+		defer cancel()
+		e.SenderEnded = x.gate.Conns.Refuses(ctx, p.Target.Addr)
+	}
+	return stream.Judge(e)
+}
+
 // relayStream relays the events of a stream as they arrive.
 func (x *Exchange) relayStream(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response) sendResult {
 	rc := http.NewResponseController(x.w)
+	hasEvents := stream.IsEventStream(resp.Header, true)
 	buf := make([]byte, streamBufferSize)
 	var lastRead time.Time
 	// Only whole events are progress: a target that sends a byte now and then would hold
@@ -136,11 +169,19 @@
 			}
 			lastRead = now
 		}
-		events, err := x.events.next(buf[:n], err, hasEvents(resp.Header))
-		if errors.Is(err, errEventTooLarge) || errors.Is(err, errInsideEvent) {
-			resp.Response.Close = true
+		events, splitErr := x.events.Add(buf[:n])
+		if splitErr != nil {
+			err = splitErr
+		}
+		var verdict stream.Verdict
+		if err != nil {
+			verdict = x.judge(ctx, p, x.events.Ending(x.Framing, hasEvents, err))
 		}
-		if len(events) > 0 || err == io.EOF {
+		_, complete := verdict.(stream.Complete)
+		if complete {
+			events = append(events, x.events.Remainder()...)
+		}
+		if len(events) > 0 || complete {
 			x.writeHead(resp)
 		}
 		if len(events) > 0 {
@@ -153,28 +194,27 @@
 			}
 			stalled.Reset(x.maxStall())
 		}
-		switch {
-		case err == io.EOF:
+		switch v := verdict.(type) {
+		case stream.Complete:
 			p.release(sentAt, endComplete)
 			x.recordAnswered()
 			x.Reason = "answered"
 			return resultDone
-		case err != nil:
-			x.events.partial = x.events.partial[:0]
-			x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("framing", x.Framing.String()).
-				Int("events", x.events.count).Str("event", x.events.lastID).
-				Str("adapter", x.Request.AdapterName()).Str("parts", x.Request.PartNames()).Err(err).Msg("gate: stream broken; partial event discarded")
+		case stream.BrokenOff:
+			resp.Response.Close = true
+			x.logBrokenStream(v.Reason)
 			return x.handleBrokenStream(ctx, p, sentAt)
 		}
 	}
 }
 
-var (
-	// errEventTooLarge ends a stream whose event does not end within maxEventBytes.
-	errEventTooLarge = errors.New("event of the stream is too large")
-	// errInsideEvent is the error of a stream that ended inside an event, or without any.
-	errInsideEvent = errors.New("stream ended inside an event")
-)
+// logBrokenStream logs that a stream broke off after its last whole event.
+func (x *Exchange) logBrokenStream(reason error) {
+	id, _ := x.events.ResumeID()
+	x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("framing", x.Framing.String()).
+		Int("events", x.events.AllEvents()).Str("event", id).
+		Str("adapter", x.Request.AdapterName()).Str("parts", x.Request.PartNames()).Err(reason).Msg("gate: stream broken; partial event discarded")
+}
 
 // maxStall returns how long a stream may go on without a whole event.
 func (x *Exchange) maxStall() time.Duration {
@@ -208,98 +248,3 @@
 	copyHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 }
-
-// eventSplitter splits a stream into complete events, so that after an interruption
-// the stream can be resumed from the last complete event.
-type eventSplitter struct {
-	partial []byte
-	// lastID is the ID of the last complete event, and count the number of complete
-	// events, separators included.
-	lastID string
-	count  int
-}
-
-// next returns the events that are complete after a read of b with the given error, and that
-// error or a more exact one. The framing does not always tell whether a target broke off,
-// since an answer may end with its connection: a stream that hasEvents is complete only
-// after whole events.
-func (e *eventSplitter) next(b []byte, err error, hasEvents bool) ([]byte, error) {
-	events := e.add(b)
-	switch {
-	case err == nil && len(e.partial) > maxEventBytes:
-		return events, errEventTooLarge
-	case err != io.EOF:
-		return events, err
-	case hasEvents && (e.insideEvent() || e.count == 0):
-		return events, errInsideEvent
-	default:
-		// Comments after the last event are part of the response as well.
-		return append(events, e.takeRemainder()...), err
-	}
-}
-
-// eventEnds are the ends of an event: a blank line, with either kind of line end.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
-
-// add appends bytes and returns the events that are now complete.
-func (e *eventSplitter) add(b []byte) []byte {
-	e.partial = append(e.partial, b...)
-	end := 0
-	for _, mark := range eventEnds {
-		if i := bytes.LastIndex(e.partial, mark); i >= 0 {
-			end = max(end, i+len(mark))
-		}
-	}
-	if end == 0 {
-		return nil
-	}
-	events := append([]byte(nil), e.partial[:end]...)
-	e.partial = append(e.partial[:0], e.partial[end:]...)
-	for _, mark := range eventEnds {
-		e.count += bytes.Count(events, mark)
-	}
-	e.updateLastID(events)
-	return events
-}
-
-// insideEvent reports whether the data after the last complete event belongs to another
-// event. Blank lines and comments do not.
-func (e *eventSplitter) insideEvent() bool {
-	for line := range bytes.Lines(e.partial) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return true
-		}
-	}
-	return false
-}
-
-// hasEvents reports whether a response is a stream of events by its media type. One without
-// a media type is, since only streams are relayed here.
-func hasEvents(h http.Header) bool {
-	media, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-	media = strings.TrimSpace(media)
-	return media == "" || strings.EqualFold(media, "text/event-stream")
-}
-
-// takeRemainder removes and returns the data after the last complete event.
-func (e *eventSplitter) takeRemainder() []byte {
-	remainder := e.partial
-	e.partial = nil
-	return remainder
-}
-
-// updateLastID sets lastID to the last ID in complete events.
-func (e *eventSplitter) updateLastID(events []byte) {
-	i := bytes.LastIndex(events, []byte("id:"))
-	for i > 0 && events[i-1] != '\n' {
-		i = bytes.LastIndex(events[:i], []byte("id:"))
-	}
-	if i < 0 {
-		return
-	}
-	line := events[i+len("id:"):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	e.lastID = string(bytes.TrimSpace(line))
-}
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -59,14 +59,20 @@
 // streamEvents is the number of events in a complete stream.
 const streamEvents = 6
 
-// responseBody returns the body of the complete response to a request.
-func responseBody(id string, stream bool) string {
+// streamEvent returns an event of the stream that answers a request.
+func streamEvent(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, id)
+}
+
+// responseBody returns the body of the complete response to a request, without the given
+// number of events.
+func responseBody(id string, stream bool, without int) string {
 	if !stream {
 		return "answer to " + id
 	}
 	var b strings.Builder
-	for i := range streamEvents {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, id)
+	for i := without; i < streamEvents; i++ {
+		b.WriteString(streamEvent(id, i+1))
 	}
 	return b.String()
 }
@@ -150,7 +156,8 @@
 }
 
 // targetHandler returns the handler of requests at a target. It rejects about 1 in 20
-// requests as not executed and aborts about 1 in 25 of the other responses before their end.
+// requests as not executed and breaks off about 1 in 25 of the other responses, and 1 in 4
+// of those that resume a stream.
 func (rec *recorder) targetHandler(rng *rand.Rand) http.HandlerFunc {
 	var mu sync.Mutex
 	pick := func(n int) int {
@@ -165,35 +172,50 @@
 			return
 		}
 		rec.recordRun(id, r)
-		fake.SetSignature(w)
 		stream := strings.HasPrefix(r.URL.Path, "/chat/")
-		abort := pick(25) == 0
+		from := 0
+		_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &from)
 		time.Sleep(time.Duration(pick(30)) * time.Millisecond)
-		full := responseBody(id, stream)
+		if from == 0 && pick(25) == 0 || from > 0 && pick(4) == 0 {
+			breakOff(responseBody(id, stream, from), stream, pick).WriteTo(w, r)
+			return
+		}
+		fake.SetSignature(w)
 		if !stream {
+			full := responseBody(id, stream, from)
 			w.Header().Set("Content-Length", fmt.Sprint(len(full)))
-			if abort {
-				panic(http.ErrAbortHandler)
-			}
 			_, _ = io.WriteString(w, full)
 			return
 		}
 		w.Header().Set("Content-Type", "text/event-stream")
-		from := 0
-		_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &from)
-		for i := from + 1; i <= streamEvents; i++ {
-			if abort && i == streamEvents/2 {
-				_, _ = io.WriteString(w, "id: 77\nda")
-				_ = http.NewResponseController(w).Flush()
-				panic(http.ErrAbortHandler)
-			}
-			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
+		for i := from; i < streamEvents; i++ {
+			_, _ = io.WriteString(w, streamEvent(id, i+1))
 			_ = http.NewResponseController(w).Flush()
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
 }
 
+// breakOff returns an answer that breaks off at a random byte, in a random framing, with or
+// without a reset. One that ends with its connection breaks off before the end of its first
+// event: later a link that cuts it between two events would leave no trace of that.
+func breakOff(body string, stream bool, pick func(int) int) fake.Answer {
+	a := fake.Answer{
+		Body:    body,
+		Framing: []string{fake.Length, fake.Chunks, fake.Close}[pick(3)],
+		Reset:   pick(2) == 0,
+	}
+	if !stream && a.Framing == fake.Close {
+		a.Framing = fake.Length
+	}
+	end := len(body)
+	if a.Framing == fake.Close {
+		end = strings.Index(body+"\n\n", "\n\n")
+	}
+	a.Cut = pick(max(end, 1))
+	return a
+}
+
 // recordRun records that a target executes a request. It is a violation if the request
 // names another organisation, carries the caller's key, was never sent, or runs again
 // although it may run at most once.
@@ -268,7 +290,7 @@
 	rec.recordStatus(id, resp.StatusCode)
 	switch {
 	case resp.StatusCode == http.StatusOK && err == nil:
-		if want := responseBody(id, k.adapter); string(b) != want || !fake.HasSignature(resp) {
+		if want := responseBody(id, k.adapter, 0); string(b) != want || !fake.HasSignature(resp) {
 			rec.addViolation("%s (%s): response with a wrong body or no signature: %q", id, k.name, b)
 		}
 		rec.mu.Lock()
--- a/stream/framing.go
+++ b/stream/framing.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// statesEnd reports whether the message itself tells where its body ends.
+func (f Framing) statesEnd() bool {
+	return f == FramedByLength || f == FramedByChunks
+}
+
 // FramingOf returns the framing of a response's body.
 func FramingOf(resp *http.Response) Framing {
 	switch {
