A resumed run follows the events that its caller has

What callers saw: 200, complete, with events twice, where a target began the stream again instead of resuming it, or where the last event had no ID to resume after. Change: a resumed run whose first event does not come after the last one is broken off; a stream whose last event has no ID is not resumed.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -182,7 +182,7 @@
 	switch result {
 	case resultNotExecuted, resultAdapterLoading:
 	case resultStreamBroken:
-		if !x.Route.Resumable {
+		if _, ok := x.events.ResumeID(); !ok || !x.Route.Resumable {
 			return false
 		}
 	default:
--- a/stream/ending_test.go
+++ b/stream/ending_test.go
@@ -14,7 +14,7 @@
 func allEndings(f func(Ending)) {
 	flags := []bool{false, true}
 	for _, framing := range []Framing{0, FramedByLength, FramedByChunks, FramedByClose} {
-		for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, errReset, ErrEventTooLarge, nil} {
+		for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, errReset, ErrRepeated, ErrEventTooLarge, nil} {
 			for _, events := range []int{0, 2} {
 				for _, earlier := range []int{0, 2} {
 					for _, hasEvents := range flags {
@@ -76,7 +76,7 @@
 			require.False(t, e.DependsOnSender(), "%+v", e)
 		}
 	})
-	require.Equal(t, 4*5*2*2*16, n)
+	require.Equal(t, 4*6*2*2*16, n)
 }
 
 // Guards against an ending that is complete although less is known for it: with more missing, a
--- a/stream/splitter.go
+++ b/stream/splitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -9,8 +10,12 @@
 // MaxEventBytes bounds one event of a stream.
 const MaxEventBytes = 1 << 20
 
-// ErrEventTooLarge ends a stream whose event does not end within MaxEventBytes.
-var ErrEventTooLarge = errors.New("event of the stream is too large")
+var (
+	// ErrEventTooLarge ends a stream whose event does not end within MaxEventBytes.
+	ErrEventTooLarge = errors.New("event of the stream is too large")
+	// ErrRepeated ends a run that repeats events of the run that it should resume.
+	ErrRepeated = errors.New("resumed run repeats an earlier event")
+)
 
 // Splitter splits a stream, in one or more runs, into blocks that end in a blank line. A block
 // with a line that is neither a comment nor a retry delay is an event. Its zero value is ready
@@ -52,6 +57,9 @@
 			s.current.add(line)
 			continue
 		}
+		if s.repeats() {
+			return s.take(end), ErrRepeated
+		}
 		s.endBlock()
 		end = s.lines
 	}
@@ -82,6 +90,17 @@
 	s.current = block{}
 }
 
+// repeats reports whether the current block is the first event of a resumed run and does not
+// come after the last event of the run before.
+func (s *Splitter) repeats() bool {
+	if !s.current.isEvent || s.events > 0 || s.earlier == 0 {
+		return false
+	}
+	id, err := strconv.ParseUint(s.current.id, 10, 64)
+	last, lastErr := strconv.ParseUint(s.last.id, 10, 64)
+	return err == nil && lastErr == nil && id <= last
+}
+
 // add records a line.
 func (b *block) add(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
