Answers to callers of HTTP/1.0 have a length

What callers saw: in HTTP/1.0, which has no chunks, a stream ended with its connection, whole or broken off, also when our process ends midway. Change: such an answer is held until it is complete and sent with its length; otherwise nothing is sent. Measured: platform.TestCallerWithoutChunksSeesWhereStreamBreaksOff failed for HTTP/1.0 (2 of 4 cases) and passes; HTTP/1.1 with Connection: close was chunked before and is.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -206,6 +206,22 @@
 		start:    now,
 	}
 	defer x.finish()
+	if !r.ProtoAtLeast(1, 1) {
+		b := &bufferedWriter{
+			ResponseWriter: w,
+		}
+		x.w = b
+		x.process(now, r)
+		b.close()
+		return
+	}
+	x.process(now, r)
+}
+
+// process answers the request. It panics with http.ErrAbortHandler to abort a response that
+// has begun.
+func (x *Exchange) process(now time.Time, r *http.Request) {
+	g := x.gate
 	if refusal := g.prepare(now, x, r); refusal != nil {
 		x.refuse(*refusal)
 		return
