A service's answer without length is incomplete if the service ended with it

What callers saw: engine.Serve took half an answer without a length for a whole one when its service crashed, and a booking's outcome for complete. Change: rest.Response names the framing; engine.Serve asks stream.Judge and reports such an outcome as unknown.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,6 +20,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -29,7 +30,9 @@
 
 	"currantstile/errs"
 	"currantstile/model"
+	"currantstile/origin"
 	"currantstile/rest"
+	"currantstile/stream"
 )
 
 // Names of the headers in requests to targets and in their responses.
@@ -159,9 +162,12 @@
 	}
 }
 
-// Client calls targets. Its fields must be set before the first call.
+// Client calls targets. Its exported fields must be set before the first call.
 type Client struct {
 	HTTP *rest.Client
+
+	// conns tries whether a target still accepts connections.
+	conns origin.Pool
 }
 
 // Call is one request to a model engine, in the format of the engine's API.
@@ -282,8 +288,9 @@
 // serviceTimeout is the maximum duration of a service call, also if its context has no deadline.
 const serviceTimeout = 5 * time.Minute
 
-// Serve sends a request to a plain service and reads the complete response. The HTTP client checks
-// the length of the body, so a truncated response is an error.
+// Serve sends a request to a plain service and reads the complete response. A truncated response is
+// an error: one that is shorter than its framing states, and one that ends with its connection when
+// the service has ended.
 func (c *Client) Serve(ctx context.Context, addr netip.AddrPort, call ServiceCall) (rest.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
@@ -300,6 +307,12 @@
 	if err != nil {
 		return resp, errs.WithPeer(err, "Client.Serve", addr)
 	}
+	if broken, ok := c.judge(ctx, addr, resp).(stream.BrokenOff); ok {
+		return resp, &rest.SendError{
+			MaybeSent: true,
+			Err:       errs.WithPeer(broken.Reason, "Client.Serve", addr),
+		}
+	}
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != call.RequestID {
 		return resp, errs.WithPeer(ErrResponseMismatch, "Client.Serve", addr)
 	}
@@ -309,3 +322,15 @@
 	}
 	return resp, nil
 }
+
+// judge decides whether the body of a service's response is complete.
+func (c *Client) judge(ctx context.Context, addr netip.AddrPort, resp rest.Response) stream.Verdict {
+	e := stream.Ending{
+		Framing: resp.Framing,
+		Err:     io.EOF,
+	}
+	if e.DependsOnSender() {
+		e.SenderEnded = c.conns.Refuses(ctx, addr)
+	}
+	return stream.Judge(e)
+}
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -32,10 +32,10 @@
 	"github.com/pkg/errors"
 
 	"currantstile/errs"
+	"currantstile/stream"
 )
 
-// MaxResponseBytes limits how much of a response body Exchange reads into memory; the
-// rest is cut off.
+// MaxResponseBytes is the largest response body that Exchange reads, in bytes.
 const MaxResponseBytes = 16 << 20
 
 // ErrTooLarge is the cause of the error for a response body over MaxResponseBytes.
@@ -181,6 +181,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Framing is how the end of Body was marked. A body that ends with its connection may be
+	// incomplete if the server ended with it.
+	Framing stream.Framing
 }
 
 // Exchange sends the request once and reads the response body, up to
@@ -203,9 +206,10 @@
 		}
 	}
 	return Response{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Body:   body,
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    body,
+		Framing: stream.FramingOf(resp),
 	}, nil
 }
 
