A connection between instances that has ended is dialled again at once

Cause: net/rpc keeps the end of a connection to itself until the next call, which fails. Change: the reader's error removes the connection.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -53,6 +53,8 @@
 type peerConn struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	// conn is the connection of client.
+	conn *watchedConn
 	// timeouts counts the calls that timed out since the last reply.
 	timeouts atomic.Int32
 	// pending is set while a connection is being opened.
@@ -166,12 +168,43 @@
 	defer c.mu.Unlock()
 	c.pending = nil
 	if d.err = err; err == nil {
-		d.client = p.newClient(addr, nc)
+		c.conn = &watchedConn{
+			Conn:  nc,
+			ended: c.forget,
+		}
+		d.client = p.newClient(addr, c.conn)
 		c.client = d.client
 	}
 	close(d.done)
 }
 
+// watchedConn is a connection that reports its end, which a client keeps to itself until the
+// next call fails.
+type watchedConn struct {
+	net.Conn
+	ended func(*watchedConn)
+}
+
+// Read implements net.Conn.
+func (w *watchedConn) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if err != nil {
+		w.ended(w)
+	}
+	return n, err
+}
+
+// forget closes a connection that has ended and removes it, so that the next call dials again.
+func (c *peerConn) forget(conn *watchedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// The connection has already failed; Close only releases it.
+	_ = conn.Close()
+	if c.conn == conn {
+		c.client, c.conn = nil, nil
+	}
+}
+
 // newClient returns a client on a connection that has been authenticated.
 func (p *Pool) newClient(addr netip.AddrPort, conn net.Conn) *rpc.Client {
 	if p.Observe == nil {
@@ -192,7 +225,7 @@
 	if c.client == client {
 		// The connection has already failed; Close only releases it.
 		_ = client.Close()
-		c.client = nil
+		c.client, c.conn = nil, nil
 	}
 }
 
@@ -205,7 +238,7 @@
 		c.mu.Lock()
 		if c.client != nil {
 			_ = c.client.Close()
-			c.client = nil
+			c.client, c.conn = nil, nil
 		}
 		c.mu.Unlock()
 	}
