A manager that has restarted is asked at once

Cause: the targets of a manager that did not respond are skipped for 0.7 s, also when it has registered again meanwhile. Change: that ends with the start of its next process.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -161,7 +161,7 @@
 // reached, the context ends, or the target or version has changed meanwhile.
 func (r *Router) requestAdmission(ctx context.Context, x *Exchange, view *fleet.View, t *fleet.Target, version uint64, round sched.PlacementRound, demandWeight int) (*Placement, wire.AdmissionReply) {
 	m, ok := view.Manager(t.ID)
-	if !ok || r.isUnresponsive(time.Now(), m.Instance) {
+	if !ok || r.isUnresponsive(time.Now(), view, m.Instance) {
 		return nil, wire.AdmissionReply{}
 	}
 	p := &Placement{
@@ -261,7 +261,7 @@
 				return res.reply
 			}
 			r.Log.Info().Err(res.err).Str("instance", p.manager).Msg("gate: admission request failed; targets of this manager are skipped for a while")
-			r.markUnresponsive(time.Now(), p.manager)
+			r.markUnresponsive(time.Now(), in)
 			return wire.AdmissionReply{}
 		case now := <-ticker.C:
 			if r.hasContactSince(p.manager, lastContact) {
@@ -274,7 +274,7 @@
 			}
 			cancel()
 			r.Log.Info().Str("instance", p.manager).Msg("gate: manager is unresponsive; its targets are skipped for a while")
-			r.markUnresponsive(now, p.manager)
+			r.markUnresponsive(now, in)
 			return wire.AdmissionReply{}
 		case <-ctx.Done():
 			return wire.AdmissionReply{}
@@ -308,16 +308,24 @@
 }
 
 // isUnresponsive reports whether the targets of a manager are skipped at present,
-// because it did not respond to an admission request.
-func (r *Router) isUnresponsive(now time.Time, instance string) bool {
+// because it did not respond to an admission request and has not restarted since.
+func (r *Router) isUnresponsive(now time.Time, view *fleet.View, instance string) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.backoffUntil[instance])
+	b, ok := r.backoffs[instance]
+	r.mu.Unlock()
+	if !ok || !now.Before(b.until) {
+		return false
+	}
+	in, known := view.Instance(instance)
+	return !known || in.Started == b.started
 }
 
 // markUnresponsive skips the targets of a manager for managerBackoff.
-func (r *Router) markUnresponsive(now time.Time, instance string) {
+func (r *Router) markUnresponsive(now time.Time, in fleet.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.backoffUntil[instance] = now.Add(managerBackoff)
+	r.backoffs[in.Name] = backoff{
+		until:   now.Add(managerBackoff),
+		started: in.Started,
+	}
 }
--- a/proxy/admission_test.go
+++ b/proxy/admission_test.go
@@ -89,7 +89,7 @@
 		delay: 3 * livenessTimeout,
 	})
 	require.True(t, reply.Granted)
-	require.False(t, r.isUnresponsive(time.Now(), "entry-1"))
+	require.False(t, r.isUnresponsive(time.Now(), r.Registry.View(), "entry-1"))
 }
 
 // A manager that answers neither admission requests nor pings must be abandoned
@@ -103,5 +103,32 @@
 	close(blocked)
 	require.False(t, reply.Granted)
 	require.Less(t, time.Since(start), admissionTimeout)
-	require.True(t, r.isUnresponsive(time.Now(), "entry-1"))
+	require.True(t, r.isUnresponsive(time.Now(), r.Registry.View(), "entry-1"))
+}
+
+// Guards against the targets of a manager that are skipped although it has restarted since it
+// did not respond.
+func TestRestartedManagerIsAskedAtOnce(t *testing.T) {
+	r := &Router{
+		Registry: fleet.NewRegistry(),
+	}
+	r.init()
+	in := fleet.Instance{
+		Name:    "entry-1",
+		Started: 1,
+	}
+	r.Registry.SetInstance(in)
+	r.Registry.Publish()
+	now := time.Now()
+	r.markUnresponsive(now, in)
+	require.True(t, r.isUnresponsive(now, r.Registry.View(), "entry-1"))
+	r.Registry.RemoveInstance("entry-1")
+	r.Registry.Publish()
+	require.True(t, r.isUnresponsive(now, r.Registry.View(), "entry-1"), "stopped")
+	in.Started = 2
+	r.Registry.SetInstance(in)
+	r.Registry.Publish()
+	require.False(t, r.isUnresponsive(now, r.Registry.View(), "entry-1"), "restarted")
+	r.markUnresponsive(now, in)
+	require.False(t, r.isUnresponsive(now.Add(managerBackoff), r.Registry.View(), "entry-1"), "later")
 }
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -53,10 +53,10 @@
 	balancer sched.Balancer
 	demand   sched.Demand
 	mu       sync.Mutex
-	// backoffUntil is until when the targets of each manager are skipped, and
-	// lastContact when the last message from each instance was received.
-	backoffUntil map[string]time.Time
-	lastContact  map[string]time.Time
+	// backoffs are the managers whose targets are skipped, by instance, and lastContact is
+	// when the last message from each instance was received.
+	backoffs    map[string]backoff
+	lastContact map[string]time.Time
 	// windows is the prefill window of each service that its managers last reported.
 	windows map[string]int64
 	// updates holds the queued progress updates by manager and target. wake is
@@ -66,6 +66,13 @@
 	once    sync.Once
 }
 
+// backoff is until when the targets of a manager are skipped that did not respond, and the
+// start of its process, in Unix milliseconds: a restarted one is asked at once.
+type backoff struct {
+	until   time.Time
+	started int64
+}
+
 // Placement is the permission to send a request to a target.
 type Placement struct {
 	Target fleet.Target
@@ -123,7 +130,7 @@
 // init creates the maps and the channel on the first call.
 func (r *Router) init() {
 	r.once.Do(func() {
-		r.backoffUntil = make(map[string]time.Time)
+		r.backoffs = make(map[string]backoff)
 		r.lastContact = make(map[string]time.Time)
 		r.windows = make(map[string]int64)
 		r.updates = make(map[string]map[string][]sched.ProgressUpdate)
