A rare adapter is loaded where it will be served soonest

Cause: an adapter that no target holds was loaded by the first target of its hash order, however long that one's queue was; a third of the requests need such a load.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -56,8 +56,16 @@
 		Remaining:    x.callerDeadline().Sub(now),
 		Attempt:      attempt,
 	})
+	estimate := func(t *fleet.Target) (time.Duration, bool) {
+		e := expected[t.ID]
+		return e, e > 0
+	}
 	for _, round := range rounds {
-		for i, t := range ordered {
+		choices := ordered
+		if round.AllowFetch {
+			choices = sched.FetchOrder(ordered, estimate)
+		}
+		for i, t := range choices {
 			// A target that has not admitted the request is tried again only if
 			// it returned an estimate within the limit of this round.
 			if e, known := expected[t.ID]; i >= round.MaxTargets || known && (e == 0 || e > round.Limit) {
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -19,6 +19,9 @@
 	// attemptsPerFetchTarget is the number of failed attempts after which one
 	// more target may load the adapter from the weight store.
 	attemptsPerFetchTarget = 12
+	// fetchSlack is by how much another target must be expected to return the first token
+	// earlier than the first of the order to load an adapter in its place.
+	fetchSlack = 60 * time.Millisecond
 	// idleTargets is how many targets get an admission request in a first round
 	// that only an idle target satisfies: one expected to return the first token
 	// within idleSlack plus the time to read the prompt.
@@ -132,6 +135,31 @@
 	})
 }
 
+// FetchOrder arranges the targets of an adapter that none of them holds for the round in
+// which one may load it. The first targets of the order are compared by the time to the first
+// token that they expect, and one that would be faster than the first by more than fetchSlack
+// takes its place: an order by hashes alone leaves half of the targets idle while others
+// queue prompts. Targets without an estimate keep their place, because they may hold the
+// adapter. The list is not modified.
+func FetchOrder[T any](targets []T, expected func(T) (time.Duration, bool)) []T {
+	best := 0
+	for i := range min(initialTargets, len(targets)) {
+		e, ok := expected(targets[i])
+		if !ok {
+			return targets
+		}
+		if b, _ := expected(targets[best]); i > 0 && e+fetchSlack < b {
+			best = i
+		}
+	}
+	if best == 0 {
+		return targets
+	}
+	ordered := slices.Clone(targets)
+	ordered[0], ordered[best] = ordered[best], ordered[0]
+	return ordered
+}
+
 // Replicas returns how many targets an adapter needs at a demand given in prompt
 // tokens per second.
 func Replicas(demand float64) int {
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -37,7 +37,9 @@
 // other, and counts the requests whose first token is within the objective.
 type replay struct {
 	// replicas returns the number of replicas assumed at a demand.
-	replicas    func(demand float64) int
+	replicas func(demand float64) int
+	// byHash makes the first target of the order load an adapter, whatever it expects.
+	byHash      bool
 	targets     []*sched.Target
 	idleAt      []time.Time
 	demand      sched.Demand
@@ -46,6 +48,7 @@
 	arrivals    int
 	onTime      int
 	refused     int
+	loads       int
 	// onTimeByHot splits onTime into requests for the hot adapter and others.
 	onTimeByHot [2]int
 }
@@ -114,6 +117,7 @@
 	}, max(sched.MaxTargets, replicas), func(*int) bool {
 		return true
 	}), replicas, xxhash.Sum64String(id), attempt)
+	expected := make(map[int]time.Duration)
 	for _, round := range sched.PlacementRounds(sched.PlacementParams{
 		NeedsAdapter: true,
 		Demand:       demand,
@@ -122,8 +126,18 @@
 		Remaining:    replayDeadline - now.Sub(started),
 		Attempt:      attempt,
 	}) {
-		for _, i := range order[:min(round.MaxTargets, len(order))] {
-			if r.requestAdmission(now, started, i, sched.AdmissionRequest{
+		choices := order
+		if round.AllowFetch && !r.byHash {
+			choices = sched.FetchOrder(order, func(i int) (time.Duration, bool) {
+				e := expected[i]
+				return e, e > 0
+			})
+		}
+		for _, i := range choices[:min(round.MaxTargets, len(order))] {
+			if e, known := expected[i]; known && (e == 0 || e > round.Limit) {
+				continue
+			}
+			admitted, e := r.requestAdmission(now, started, i, sched.AdmissionRequest{
 				ID:      id,
 				Model:   "m",
 				Adapter: adapter,
@@ -133,9 +147,11 @@
 				Left:    replayDeadline,
 				NoFetch: !round.AllowFetch,
 				Turn:    true,
-			}, hot) {
+			}, hot)
+			if admitted {
 				return
 			}
+			expected[i] = e
 		}
 	}
 	if now.After(sched.RetryDeadline(started, started.Add(replayDeadline))) {
@@ -149,8 +165,8 @@
 
 // requestAdmission requests admission from one target, and simulates reading the
 // prompt if the target admits the request. It reports whether the request was
-// admitted or queued.
-func (r *replay) requestAdmission(now, started time.Time, i int, a sched.AdmissionRequest, hot bool) bool {
+// admitted or queued, and if not, the time to the first token that the target expects.
+func (r *replay) requestAdmission(now, started time.Time, i int, a sched.AdmissionRequest, hot bool) (bool, time.Duration) {
 	t := r.targets[i]
 	d := t.Admit(now, a)
 	if l, ok := d.(sched.Load); ok {
@@ -158,20 +174,22 @@
 			t.RecordUnloaded(l.Unload)
 		}
 		t.RecordLoaded(now, l.Adapter, l.Version)
+		r.loads++
 		d = t.Admit(now, a)
 	}
 	if _, ok := d.(sched.Queued); ok {
 		// The manager keeps the request queued until prompts have been read.
 		r.schedule(now.Add(replayPoll), func(now time.Time) {
-			if !r.requestAdmission(now, started, i, a, hot) {
+			if admitted, _ := r.requestAdmission(now, started, i, a, hot); !admitted {
 				r.place(now, started, a.ID, a.Adapter, hot, 1)
 			}
 		})
-		return true
+		return true, 0
 	}
 	g, ok := d.(sched.Granted)
 	if !ok {
-		return false
+		declined, _ := d.(sched.Declined)
+		return false, declined.Expected
 	}
 	begin := now.Add(g.After)
 	if r.idleAt[i].After(begin) {
@@ -207,7 +225,7 @@
 			})
 		})
 	}
-	return true
+	return true, 0
 }
 
 // replayHotAdapter replays 8 s in which one adapter receives a third of the
@@ -245,3 +263,84 @@
 	require.Greater(t, float64(byDemand.onTime), 0.9*float64(byDemand.arrivals))
 	require.Less(t, float64(fixed.onTime), 0.9*float64(fixed.arrivals))
 }
+
+// replayRareAdapters replays 20 s in which most adapters of a fleet that is 45% busy are asked
+// for once or twice, so that each has to be loaded, and returns the replay with the number of
+// loads.
+func replayRareAdapters(seed uint64, byHash bool) (*replay, int) {
+	const targets, adapters, seconds = 18, 3000, 20
+	r := newReplay(targets, sched.Replicas)
+	r.byHash = byHash
+	rng := rand.New(rand.NewPCG(seed, 2))
+	zipf := rand.NewZipf(rng, 1.2, 1, adapters-1)
+	gap := float64(time.Second) / (0.45 * targets * replayRate * 1000 / replayPrompt)
+	for i, at := 0, 0.0; at < seconds*float64(time.Second); i++ {
+		at += rng.ExpFloat64() * gap
+		adapter := fmt.Sprint("a", zipf.Uint64())
+		r.schedule(start.Add(time.Duration(at)), func(now time.Time) {
+			r.arrive(now, fmt.Sprint(i), adapter, adapter == "a0")
+		})
+	}
+	r.run()
+	return r, r.loads
+}
+
+// Guards against targets that queue prompts while half of the fleet is idle, because an adapter
+// that no target holds is loaded by the first one of its order, however long its queue is.
+func TestRareAdaptersAreLoadedWhereTheyAreServedSoon(t *testing.T) {
+	for seed := range uint64(5) {
+		before, loadsBefore := replayRareAdapters(seed, true)
+		after, loads := replayRareAdapters(seed, false)
+		t.Logf("seed %d: on time %d by hash, %d by estimate of %d; loads %d and %d", seed, before.onTime, after.onTime, after.arrivals, loadsBefore, loads)
+		require.Greater(t, after.onTime, before.onTime)
+		require.LessOrEqual(t, float64(loads), 1.05*float64(loadsBefore), "each load takes bandwidth of the store")
+	}
+}
+
+func TestFetchOrder(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		expected []time.Duration
+		want     int
+	}{
+		{
+			name:     "the first is nearly as fast",
+			expected: []time.Duration{350, 300, 320, 310},
+			want:     0,
+		},
+		{
+			name:     "another is faster",
+			expected: []time.Duration{500, 450, 300, 310},
+			want:     2,
+		},
+		{
+			name:     "one without an estimate may hold the adapter",
+			expected: []time.Duration{500, 300, 0, 310},
+			want:     0,
+		},
+		{
+			name:     "targets beyond those that were asked",
+			expected: []time.Duration{500, 500, 500, 500, 100},
+			want:     0,
+		},
+		{
+			name:     "no target",
+			expected: nil,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var targets []int
+			for i := range c.expected {
+				targets = append(targets, i)
+			}
+			got := sched.FetchOrder(targets, func(i int) (time.Duration, bool) {
+				return c.expected[i] * time.Millisecond, c.expected[i] > 0
+			})
+			require.ElementsMatch(t, targets, got)
+			if len(targets) > 0 {
+				require.Equal(t, c.want, got[0])
+				require.Equal(t, 0, targets[0], "the order itself is kept")
+			}
+		})
+	}
+}
