Load slots go to the most urgent load

What callers saw: during a shift of demand urgent requests waited for load slots behind the fetches of less urgent ones; the store is used at 25 to 30 of 32 loads a second then. Cause: slots were granted in order of arrival, whatever priority the operator gave the request. Change: the most urgent load first, every fourth slot to the longest waiting one, a shared fetch as urgent as its most urgent request; the expected wait counts only loads ahead.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -95,9 +95,8 @@
 	synced         bool
 	acceptedOrders uint64
 	syncing        bool
-	// pendingFetches maps each adapter that waits for a load slot to a channel that is
-	// closed when its fetch has ended.
-	pendingFetches map[string]chan struct{}
+	// pendingFetches are the fetches in progress by adapter.
+	pendingFetches map[string]pendingFetch
 	// orderMu is held while an order is in progress.
 	orderMu sync.Mutex
 }
@@ -146,7 +145,7 @@
 			target:         t,
 			state:          sched.NewTarget(t.ID, limits),
 			changed:        make(chan struct{}),
-			pendingFetches: make(map[string]chan struct{}),
+			pendingFetches: make(map[string]pendingFetch),
 		}
 		mt.state.LoadLimiter = &m.loadLimiter
 		mt.state.PrefillWindow = m.prefillWindow(t.Service)
--- a/driver/load.go
+++ b/driver/load.go
@@ -8,21 +8,32 @@
 	"currantstile/wire"
 )
 
+// pendingFetch is an adapter that waits for a load slot, or is being ordered.
+type pendingFetch struct {
+	slot *sched.LoadSlot
+	// done is closed when the fetch has ended.
+	done <-chan struct{}
+}
+
 // fetch waits for a load slot and then loads an adapter from the weight store. Requests
 // for the same adapter share one slot. It returns true if the request should be decided
 // again, and false with the reply if it is already decided or the load was not started.
 func (m *Manager) fetch(mt *managedTarget, req sched.AdmissionRequest) (wire.AdmissionReply, bool) {
 	mt.mu.Lock()
-	if done, ok := mt.pendingFetches[req.Adapter]; ok {
+	if f, ok := mt.pendingFetches[req.Adapter]; ok {
 		mt.mu.Unlock()
+		m.loadLimiter.Raise(f.slot, req.Priority)
 		select {
-		case <-done:
+		case <-f.done:
 		case <-time.After(loadSlotWait):
 		}
 		return wire.AdmissionReply{}, true
 	}
-	done := make(chan struct{})
-	mt.pendingFetches[req.Adapter] = done
+	slot, done := m.loadLimiter.Acquire(req.Priority), make(chan struct{})
+	mt.pendingFetches[req.Adapter] = pendingFetch{
+		slot: slot,
+		done: done,
+	}
 	mt.mu.Unlock()
 	defer func() {
 		mt.mu.Lock()
@@ -30,9 +41,8 @@
 		mt.mu.Unlock()
 		close(done)
 	}()
-	slot := m.loadLimiter.Acquire()
 	select {
-	case <-slot:
+	case <-slot.Granted:
 	case <-time.After(loadSlotWait):
 		m.loadLimiter.Release(slot)
 		return wire.AdmissionReply{
@@ -134,7 +144,7 @@
 
 // releaseWhenLoaded releases a load slot when the load is expected to be complete, or now
 // if the adapter is not being loaded.
-func (m *Manager) releaseWhenLoaded(mt *managedTarget, adapter string, slot <-chan struct{}) {
+func (m *Manager) releaseWhenLoaded(mt *managedTarget, adapter string, slot *sched.LoadSlot) {
 	now := time.Now()
 	mt.mu.Lock()
 	ready, ok := mt.state.ReadyAt(adapter)
--- a/sched/load_limiter.go
+++ b/sched/load_limiter.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,20 +18,35 @@
 	// loadScaleHalfLife is the time in which a deviation halves without
 	// observations.
 	loadScaleHalfLife = 2 * time.Second
+	// oldestGrantInterval is how many load slots are granted for one that goes to the
+	// longest waiting load instead of the most urgent one.
+	oldestGrantInterval = 4
 )
 
 // LoadLimiter limits how many adapters the managed targets of one instance load
 // from the weight store at once, because each load takes longer the more of them
-// run. Slots are granted in order of arrival. It is safe for concurrent use.
+// run. Slots are granted to the most urgent load, in order of arrival among equals, and now
+// and then to the longest waiting one. It is safe for concurrent use.
 type LoadLimiter struct {
-	mu      sync.Mutex
-	slots   int
-	inUse   int
-	waiting []chan struct{}
+	mu    sync.Mutex
+	slots int
+	inUse int
+	// waiting are the loads that wait, in order of arrival, and granted counts those that
+	// got a slot after waiting.
+	waiting []*LoadSlot
+	granted int
 	scale   float64
 	scaleAt time.Time
 }
 
+// LoadSlot is a load slot, or the place in the queue for one.
+type LoadSlot struct {
+	// Granted is closed when the slot is granted.
+	Granted  <-chan struct{}
+	granted  chan struct{}
+	priority int
+}
+
 // SetTargets sets the number of managed targets.
 func (l *LoadLimiter) SetTargets(n int) {
 	l.mu.Lock()
@@ -39,47 +55,77 @@
 	l.grantSlots()
 }
 
-// grantSlots grants free load slots to the longest waiting callers. The caller
-// holds mu.
+// grantSlots grants free load slots. The caller holds mu.
 func (l *LoadLimiter) grantSlots() {
 	for l.inUse < max(l.slots, 1) && len(l.waiting) > 0 {
 		l.inUse++
-		close(l.waiting[0])
-		l.waiting = l.waiting[1:]
+		next := l.next()
+		close(l.waiting[next].granted)
+		l.waiting = slices.Delete(l.waiting, next, next+1)
+		l.granted++
 	}
 }
 
-// Acquire returns a channel that is closed when a load slot is granted. Each call
-// must be followed by a call of Release.
-func (l *LoadLimiter) Acquire() <-chan struct{} {
+// next returns the index of the waiting load that gets the next slot. The caller holds mu.
+func (l *LoadLimiter) next() int {
+	next := 0
+	if l.granted%oldestGrantInterval == oldestGrantInterval-1 {
+		return next
+	}
+	for i, w := range l.waiting {
+		if w.priority < l.waiting[next].priority {
+			next = i
+		}
+	}
+	return next
+}
+
+// Acquire asks for a load slot for a request of the given priority; 0 is the most urgent.
+// Each call must be followed by a call of Release.
+func (l *LoadLimiter) Acquire(priority int) *LoadSlot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ch := make(chan struct{})
-	l.waiting = append(l.waiting, ch)
+	granted := make(chan struct{})
+	s := &LoadSlot{
+		Granted:  granted,
+		granted:  granted,
+		priority: priority,
+	}
+	l.waiting = append(l.waiting, s)
 	l.grantSlots()
-	return ch
+	return s
+}
+
+// Raise makes a waiting load at least as urgent as another request that needs it.
+func (l *LoadLimiter) Raise(s *LoadSlot, priority int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.priority = min(s.priority, priority)
 }
 
 // Release returns a load slot, or cancels the wait for one.
-func (l *LoadLimiter) Release(ch <-chan struct{}) {
+func (l *LoadLimiter) Release(s *LoadSlot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i, w := range l.waiting {
-		if (<-chan struct{})(w) == ch {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(l.waiting, s); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		return
 	}
 	l.inUse--
 	l.grantSlots()
 }
 
-// ExpectedWait returns how long a load requested now is expected to wait for a
-// load slot.
-func (l *LoadLimiter) ExpectedWait(now time.Time) time.Duration {
+// ExpectedWait returns how long a load requested now with the given priority is expected to
+// wait for a load slot.
+func (l *LoadLimiter) ExpectedWait(now time.Time, priority int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ahead := l.inUse + len(l.waiting) - max(l.slots, 1) + 1
+	ahead := l.inUse - max(l.slots, 1) + 1
+	for _, w := range l.waiting {
+		if w.priority <= priority {
+			ahead++
+		}
+	}
 	if ahead <= 0 {
 		return 0
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -312,7 +312,7 @@
 	case r == nil || r.state == stateOrderPending:
 		wait = t.loadTime(now, a.Adapter)
 		if !t.recentlyHeld(a.Adapter) {
-			wait += t.LoadLimiter.ExpectedWait(now)
+			wait += t.LoadLimiter.ExpectedWait(now, a.Priority)
 		}
 	default:
 		wait = max(r.readyAt.Sub(now), 0)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -302,20 +302,20 @@
 func TestLoadLimiterIsFIFO(t *testing.T) {
 	var l sched.LoadLimiter
 	l.SetTargets(2)
-	first := l.Acquire()
-	second := l.Acquire()
-	third := l.Acquire()
-	<-first
-	require.Greater(t, l.ExpectedWait(start), 400*time.Millisecond)
+	first := l.Acquire(1)
+	second := l.Acquire(1)
+	third := l.Acquire(1)
+	<-first.Granted
+	require.Greater(t, l.ExpectedWait(start, 1), 400*time.Millisecond)
 	l.Release(second)
 	l.Release(first)
 	select {
-	case <-third:
+	case <-third.Granted:
 	default:
 		t.Fatal("the next waiter has not been granted the load slot")
 	}
 	l.Release(third)
-	require.Zero(t, l.ExpectedWait(start))
+	require.Zero(t, l.ExpectedWait(start, 1))
 	before := l.ExpectedLoadTime(start)
 	l.ObserveLoadTime(start, 2*time.Second)
 	require.Greater(t, l.ExpectedLoadTime(start), before)
