A target's own 429 or 503 does not promise that a request has not run

What callers saw: a target's 408, 429 or 503 without its header for that reached them unchanged; these statuses promise that the request has not run, so that a caller repeats a booking that ran, and safe requests were not repeated by us after a 408 or 429. Cause: relayBuffered passed on every complete answer. Change: such an answer is an unknown outcome: 502, or another attempt where that is allowed.

--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -100,6 +100,10 @@
 		header: resp.Header,
 		body:   body,
 	}
+	if promisesNotExecuted(resp.StatusCode) {
+		p.release(sentAt, endFailed)
+		return resultUnknown, nil
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		p.release(sentAt, endFailed)
 		return resultFailed, buffered
@@ -120,6 +124,17 @@
 	return resultDone, nil
 }
 
+// promisesNotExecuted reports whether a status tells a caller that its request was not
+// executed. A target that means this says so in a header; without it the status is not passed on.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // judgeBody decides whether a buffered body is complete. A nil err is the end of the body.
 func (x *Exchange) judgeBody(ctx context.Context, p *Placement, resp *origin.Response, body []byte, err error) stream.Verdict {
 	var events stream.Splitter
