A target's report that can't be read is read again before the next order

Cause: after the load of a base model the report was read once; where that failed the target stayed marked as synced, with the count of orders from before. Change: it is unsynced, so that the reconciliation reads it again. Measured: driver.TestFailedReportIsReadAgain failed before and passes.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -191,6 +191,8 @@
 	defer mt.mu.Unlock()
 	mt.syncing = false
 	if err != nil {
+		// The next reconciliation reads it again; no order is sent before.
+		mt.synced = false
 		m.Log.Warn().Err(err).Str("target", mt.target.ID).Msg("mgmt: cannot read target report; keeping the last known state")
 		return
 	}
--- /dev/null
+++ b/driver/driver_test.go
@@ -0,0 +1,67 @@
+package driver
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"currantstile/fleet"
+	"currantstile/sched"
+)
+
+// stubOrders answers reports and orders as the test says.
+type stubOrders struct {
+	reportErr error
+}
+
+// Order implements Orders.
+func (*stubOrders) Order(context.Context, Order) (Result, error) {
+	return nil, errors.New("no answer")
+}
+
+// Report implements Orders.
+func (s *stubOrders) Report(context.Context, fleet.Target) (Report, error) {
+	return Report{
+		Models:         []string{"m"},
+		AcceptedOrders: 3,
+	}, s.reportErr
+}
+
+// Guards against orders on the strength of an old report: where the report after the load of a
+// base model can't be read, it has to be read again before the next order.
+func TestFailedReportIsReadAgain(t *testing.T) {
+	orders := &stubOrders{
+		reportErr: errors.New("no answer"),
+	}
+	mt := &managedTarget{
+		target: fleet.Target{
+			ID: "t1",
+		},
+		state:   sched.NewTarget("t1", sched.Limits{}),
+		changed: make(chan struct{}),
+		synced:  true,
+		syncing: true,
+	}
+	m := &Manager{
+		Orders: orders,
+		Log: log.Logger{
+			Writer: &log.IOWriter{
+				Writer: io.Discard,
+			},
+		},
+		targets: map[string]*managedTarget{
+			"t1": mt,
+		},
+	}
+	m.sync(context.Background(), mt)
+	require.False(t, mt.synced)
+	require.False(t, mt.syncing)
+	orders.reportErr = nil
+	m.sync(context.Background(), mt)
+	require.True(t, mt.synced)
+	require.Equal(t, uint64(3), mt.acceptedOrders)
+}
