A repeated request to issue a key shows no key that was never stored

What operators saw: the same change ID again gave 200 with the text of a new key, which no contract held. Cause: the acceptor returns the earlier change, and the handler showed the key it had just made. Change: 409 issued-before, which names the key that was issued.

--- a/admin/contracts.go
+++ b/admin/contracts.go
@@ -171,14 +171,24 @@
 func (s *Server) handleIssueKey(ctx context.Context, c *app.RequestContext) {
 	org := model.OrgID(c.Param("org"))
 	text, key := model.IssueKey(time.Now(), org)
-	accepted, err := s.Acceptor.Accept(ctx, time.Now(), newChange(c, commit.AddKey{
+	edit := commit.AddKey{
 		Organisation: org,
 		Key:          key,
-	}))
+	}
+	accepted, err := s.Acceptor.Accept(ctx, time.Now(), newChange(c, edit))
 	if err != nil {
 		writeError(c, err)
 		return
 	}
+	if accepted.Summary != edit.Summary() {
+		// An earlier call with the same change ID issued another key.
+		writeProblem(c, http.StatusConflict, Problem{
+			Code:     "issued-before",
+			Message:  "this change was accepted before (" + accepted.Summary + "), and the text of a key is not stored: withdraw that key and issue one with another change id",
+			Revision: accepted.Revision,
+		})
+		return
+	}
 	c.JSON(http.StatusOK, ChangeResponse{
 		Revision: accepted.Revision,
 		ChangeID: accepted.ChangeID,
--- a/commit/accept.go
+++ b/commit/accept.go
@@ -18,6 +18,9 @@
 type AcceptedChange struct {
 	Revision Revision `json:"revision"`
 	ChangeID string   `json:"change-id"`
+	// Summary describes the change as it was accepted, which may have been by an earlier call
+	// with the same ID.
+	Summary string `json:"-"`
 }
 
 // Acceptor writes changes to the store. Its fields must be set before Accept.
@@ -119,6 +122,7 @@
 	return AcceptedChange{
 		Revision: next.Revision,
 		ChangeID: c.ID,
+		Summary:  c.summary(),
 	}, err
 }
 
--- a/commit/change.go
+++ b/commit/change.go
@@ -13,7 +13,8 @@
 // Edit is a single modification in a change. It is one of PutContract, RemoveContract,
 // AddKey, WithdrawKey, TakeOut and PutBack.
 type Edit interface {
-	summary() string
+	// Summary describes the edit in a few words.
+	Summary() string
 	isEdit()
 }
 
@@ -66,18 +67,29 @@
 func (TakeOut) isEdit()        {}
 func (PutBack) isEdit()        {}
 
-func (e PutContract) summary() string {
+// Summary implements Edit.
+func (e PutContract) Summary() string {
 	return "contract " + string(e.Contract.Organisation) + " applied"
 }
-func (e RemoveContract) summary() string { return "contract " + string(e.Organisation) + " removed" }
-func (e AddKey) summary() string {
+
+// Summary implements Edit.
+func (e RemoveContract) Summary() string { return "contract " + string(e.Organisation) + " removed" }
+
+// Summary implements Edit.
+func (e AddKey) Summary() string {
 	return fmt.Sprintf("key %s of %s issued", e.Key.ID, e.Organisation)
 }
-func (e WithdrawKey) summary() string {
+
+// Summary implements Edit.
+func (e WithdrawKey) Summary() string {
 	return fmt.Sprintf("key %s of %s withdrawn", e.ID, e.Organisation)
 }
-func (e TakeOut) summary() string { return fmt.Sprintf("%s %s out", e.Kind, e.Name) }
-func (e PutBack) summary() string { return fmt.Sprintf("%s %s back", e.Kind, e.Name) }
+
+// Summary implements Edit.
+func (e TakeOut) Summary() string { return fmt.Sprintf("%s %s out", e.Kind, e.Name) }
+
+// Summary implements Edit.
+func (e PutBack) Summary() string { return fmt.Sprintf("%s %s back", e.Kind, e.Name) }
 
 // Change is a configuration change requested by an operator.
 type Change struct {
@@ -89,11 +101,11 @@
 
 func (c Change) summary() string {
 	if n := len(c.Edits); n > maxSummaryEdits {
-		return fmt.Sprintf("%s and %d more", c.Edits[0].summary(), n-1)
+		return fmt.Sprintf("%s and %d more", c.Edits[0].Summary(), n-1)
 	}
 	parts := make([]string, 0, len(c.Edits))
 	for _, e := range c.Edits {
-		parts = append(parts, e.summary())
+		parts = append(parts, e.Summary())
 	}
 	return strings.Join(parts, ", ")
 }
--- a/commit/load.go
+++ b/commit/load.go
@@ -114,6 +114,7 @@
 			return AcceptedChange{
 				Revision: m.Revision,
 				ChangeID: changeID,
+				Summary:  m.Summary,
 			}, true, nil
 		}
 	}
