--- a/cmd/currantstile/explain.go
+++ b/cmd/currantstile/explain.go
@@ -183,31 +183,43 @@
 	return append(earlier, selected...)
 }
 
+// Messages of lines that record a change of state: of an instance, of a target and of a blocked
+// feature. They must be equal to those that the packages log.
+var (
+	instanceMessages = []string{
+		"node: configuration in force",
+		"limits: part of all limits changed, in millionths",
+		"feed: role changed",
+	}
+	targetMessages = []string{
+		"node: target changed",
+		"lead: managing target",
+		"mgmt: target reported",
+		"node: target is gone",
+	}
+	blockMessages = []string{
+		"poison: deciding about a feature",
+		"poison: feature blocked; requests with it crashed these targets",
+		"poison: trial of a blocked feature claimed",
+		"poison: feature cleared",
+	}
+)
+
 // isBlockChange reports whether a line records, on any instance, why one of the features
-// was blocked or tried. The messages must be equal to those that package node logs.
+// was blocked or tried.
 func isBlockChange(l logLine, features map[string]bool) bool {
-	switch l.stringField("message") {
-	case "poison: deciding about a feature", "poison: feature blocked; requests with it crashed these targets",
-		"poison: trial of a blocked feature claimed", "poison: feature cleared":
-		f := l.stringField("feature")
-		return f != "" && features[f]
-	default:
-		return false
-	}
+	f := l.stringField("feature")
+	return f != "" && features[f] && slices.Contains(blockMessages, l.stringField("message"))
 }
 
 // isStateChange reports whether a line records a change of the state that requests are decided
 // by: the configuration, the share of the limits or the role as store reader of an instance in
-// sources, or the state of a target in targets as logged by any instance. The messages must be
-// equal to those that the packages log.
+// sources, or the state of a target in targets as logged by any instance.
 func isStateChange(l logLine, sources, targets map[string]bool) bool {
-	switch l.stringField("message") {
-	case "node: configuration in force", "limits: part of all limits changed, in millionths", "feed: role changed":
+	message := l.stringField("message")
+	if slices.Contains(instanceMessages, message) {
 		return sources[l.source]
-	case "node: target changed", "lead: managing target", "mgmt: target reported", "node: target is gone":
-		t := l.stringField("target")
-		return t != "" && targets[t]
-	default:
-		return false
 	}
+	t := l.stringField("target")
+	return t != "" && targets[t] && slices.Contains(targetMessages, message)
 }
