currantstile replay: patterns of load through the decisions, in simulated time

Change: package replay, a model of targets (batch steps, prompts in pieces, places for adapters) and of the weight store (shared bandwidth) around the same decision code, five patterns, rules to compare, and a verb that prints the table.

--- a/cmd/currantstile/main.go
+++ b/cmd/currantstile/main.go
@@ -114,6 +114,12 @@
 			usage:   usageStatus,
 			run:     runStatus,
 		},
+		{
+			name:    "replay",
+			summary: "compare policies by patterns of load in simulated time",
+			usage:   usageReplay,
+			run:     runReplay,
+		},
 		{
 			name:    "load",
 			summary: "run an experiment against a fleet",
--- a/itest/layers_test.go
+++ b/itest/layers_test.go
@@ -20,7 +20,7 @@
 	{"wire", "call", "stream"},
 	{"rest", "httpd", "remote", "peer", "engine", "loader", "send", "broker", "public", "admin", "origin", "driver", "proxy"},
 	{"node", "platform"},
-	{"daemon", "sims", "demo", "trial", "itest", "soak", "cmd"},
+	{"daemon", "sims", "replay", "demo", "trial", "itest", "soak", "cmd"},
 }
 
 func layerOf(name string) int {
