--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -174,15 +174,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			now := time.Now()
-			if lastRead.IsZero() {
-				x.FirstByte = now.Sub(sentAt)
-				p.reportFirstByte(sentAt)
-			} else {
-				p.maxPause = max(p.maxPause, now.Sub(lastRead))
-				x.MaxPause = max(x.MaxPause, p.maxPause)
-			}
-			lastRead = now
+			lastRead = x.recordRead(time.Now(), p, sentAt, lastRead)
 		}
 		events, splitErr := x.events.Add(buf[:n])
 		if splitErr != nil {
@@ -223,6 +215,19 @@
 	}
 }
 
+// recordRead records that a part of a stream arrived, and returns its time. lastRead is that of
+// the part before, zero for the first one.
+func (x *Exchange) recordRead(now time.Time, p *Placement, sentAt, lastRead time.Time) time.Time {
+	if lastRead.IsZero() {
+		x.FirstByte = now.Sub(sentAt)
+		p.reportFirstByte(sentAt)
+	} else {
+		p.maxPause = max(p.maxPause, now.Sub(lastRead))
+		x.MaxPause = max(x.MaxPause, p.maxPause)
+	}
+	return now
+}
+
 // logBrokenStream logs that a stream broke off after its last whole event.
 func (x *Exchange) logBrokenStream(reason error) {
 	id, _ := x.events.ResumeID()
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -148,7 +148,7 @@
 // leaveAt makes the caller leave if it has received nothing by its deadline.
 func (s *sim) leaveAt(q *request) {
 	tried := q.tried
-	s.clock.at(q.deadline(), func(now time.Time) {
+	s.clock.at(q.deadline(), func(time.Time) {
 		if q.ended || q.first > 0 || q.tried != tried {
 			return
 		}
