--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -124,7 +124,7 @@
 	return resultDone, nil
 }
 
-// promisesNotExecuted reports whether a status tells a caller that its request was not
+// promisesNotExecuted reports whether a status promises a caller that its request was not
 // executed. A target that means this says so in a header; without it the status is not passed on.
 func promisesNotExecuted(status int) bool {
 	switch status {
--- a/stream/framing.go
+++ b/stream/framing.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// statesEnd reports whether the message itself tells where its body ends.
+// statesEnd reports whether the message itself states where its body ends.
 func (f Framing) statesEnd() bool {
 	return f == FramedByLength || f == FramedByChunks
 }
--- a/stream/splitter_test.go
+++ b/stream/splitter_test.go
@@ -16,13 +16,36 @@
 		events int
 		id     string
 	}{
-		{body: "id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n", events: 2, id: "2"},
-		{body: ": comment\n\n", events: 0},
-		{body: "\n\n\r\n", events: 0},
-		{body: "retry: 100\n\n", events: 0},
-		{body: "data\n\n", events: 1},
-		{body: "event: end\n\n: bye\n\n", events: 1},
-		{body: "id: 1\ndata: id: 9\n\n", events: 1, id: "1"},
+		{
+			body:   "id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n",
+			events: 2,
+			id:     "2",
+		},
+		{
+			body:   ": comment\n\n",
+			events: 0,
+		},
+		{
+			body:   "\n\n\r\n",
+			events: 0,
+		},
+		{
+			body:   "retry: 100\n\n",
+			events: 0,
+		},
+		{
+			body:   "data\n\n",
+			events: 1,
+		},
+		{
+			body:   "event: end\n\n: bye\n\n",
+			events: 1,
+		},
+		{
+			body:   "id: 1\ndata: id: 9\n\n",
+			events: 1,
+			id:     "1",
+		},
 	} {
 		var s Splitter
 		_, err := s.Add([]byte(c.body))
