--- a/cmd/currantstile/replay.go
+++ b/cmd/currantstile/replay.go
@@ -31,7 +31,7 @@
   currantstile replay -pattern long
 `
 
-func runReplay(_ context.Context, args []string, out, _ io.Writer) error {
+func runReplay(ctx context.Context, args []string, out, _ io.Writer) error {
 	fs := newFlags("replay")
 	pattern := fs.String("pattern", "", "only this pattern")
 	policy := fs.String("policy", "", "only this policy")
@@ -70,6 +70,9 @@
 		fmt.Fprintf(out, "  %-17s %6s %6s  %-10s %6s %6s %6s %6s %6s %6s %6s %6s\n",
 			"policy", "worth", "loads", "class", "asked", "ontime", "late", "refus", "left", "fail", "p50", "p95")
 		for _, y := range policies {
+			if ctx.Err() != nil {
+				return errors.Wrap(ctx.Err(), "replay")
+			}
 			printReplays(out, p, y, *first, *seeds)
 		}
 	}
--- a/cmd/currantstile/replay_test.go
+++ b/cmd/currantstile/replay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"strings"
 	"testing"
 
@@ -38,3 +40,10 @@
 		require.Contains(t, out.String(), c.want, c.args)
 	}
 }
+
+// Guards against experiments that go on when they are interrupted.
+func TestReplayStopsWhenInterrupted(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, runReplay(ctx, nil, io.Discard, io.Discard), context.Canceled)
+}
