--- a/watch/gap.go
+++ b/watch/gap.go
@@ -108,6 +108,8 @@
 		return "", 0, false
 	case now.Sub(f.missing.since) >= maxGapTime:
 		f.missedChange = true
+		f.Log.Info().Str("instance", f.missing.source).Uint64("needed", uint64(f.missing.needed)).Uint64("known", uint64(f.revision)).
+			Dur("age", now.Sub(f.missing.since)).Msgf("feed: missing changes of %s not received; reading them from the store", f.Prefix)
 		return "", 0, false
 	case now.Sub(f.missing.since) < gapDelay || now.Sub(f.missing.askedAt) < gapDelay:
 		return "", 0, false
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -120,7 +120,10 @@
 	// lastReader is the sender of the last message, for the log.
 	lastReader string
 	reading    bool
-	queue      chan PrefixUpdate
+	// current is the last logged result of Current, and synced that of inSync.
+	current bool
+	synced  bool
+	queue   chan PrefixUpdate
 	// ctx is that of Run.
 	ctx context.Context
 	// suspectedUntil and cutOffUntil are until when instances and data centres that did
@@ -161,8 +164,33 @@
 		// An instance that has not joined gets no messages.
 		h.Health.SetStarting(!h.hasJoined())
 		h.Health.SetListener(!h.isDesignatedReader())
-		h.recordOutage(time.Now())
+		now := time.Now()
+		h.recordOutage(now)
+		h.logCurrency(now)
+	}
+}
+
+// logCurrency logs when this instance becomes current or ceases to be, and when it begins or
+// ceases to announce itself as a store reader in sync, with the age of the evidence for it.
+func (h *Hub) logCurrency(now time.Time) {
+	current, synced := h.Current(now), h.isDesignatedReader() && h.inSync(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if current == h.current && synced == h.synced {
+		return
+	}
+	h.current, h.synced = current, synced
+	h.Log.Info().Bool("current", current).Bool("reader-in-sync", synced).Bool("store-unavailable", h.Health.Unavailable()).
+		Dur("response-age", age(now, h.Health.LastSuccess())).Dur("message-age", age(now, h.lastMessageAt)).
+		Str("heard-from", h.lastReader).Msg("feed: state changed")
+}
+
+// age returns the time since at, or -1 if at is unknown.
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() || at.UnixNano() == 0 {
+		return -1
 	}
+	return now.Sub(at)
 }
 
 // recordOutage records an outage if no messages of a store reader arrive and the store does
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -280,6 +280,10 @@
 	defer f.mu.Unlock()
 	switch {
 	case !f.listed:
+		if len(p.Entries) > 0 {
+			f.Log.Info().Str("instance", source).Uint64("revision", uint64(p.UpTo)).Uint64("known", uint64(f.revision)).
+				Msgf("feed: changes of %s not applied: the prefix has not been listed", f.Prefix)
+		}
 		f.missedChange = true
 		return false
 	case p.Before > f.revision:
