Ages are measured without the time of day

Cause: the store's last response was kept in Unix nanoseconds, so after the clock was set back a reader that is cut off counted itself in sync, and its pings kept the others from reading; the other way round no response counted. Change: Health, the listing's age, the retry budget's window and the own path's isolation keep times with their monotonic readings; a stored pushback is no longer than when it was stored. Class: an age by the time of day.

--- a/commit/follow.go
+++ b/commit/follow.go
@@ -46,11 +46,10 @@
 	Log   log.Logger
 
 	view atomic.Pointer[View]
-	// confirmedAt is when the store last confirmed the view, in Unix nanoseconds.
-	confirmedAt atomic.Int64
-	// lastContact is when the store or another instance last responded, in Unix
-	// nanoseconds.
-	lastContact atomic.Int64
+	// confirmedAt is when the store last confirmed the view.
+	confirmedAt atomic.Pointer[time.Time]
+	// lastContact is when the store or another instance last responded.
+	lastContact atomic.Pointer[time.Time]
 	mu          sync.Mutex
 	waiters     []chan struct{}
 }
@@ -66,23 +65,27 @@
 // ConfirmedAt returns when the store last confirmed the view, or the zero time if it
 // never has.
 func (f *Follower) ConfirmedAt() time.Time {
-	n := f.confirmedAt.Load()
-	if n == 0 {
+	return valueOf(f.confirmedAt.Load())
+}
+
+// valueOf returns the time that at points to, or the zero time.
+func valueOf(at *time.Time) time.Time {
+	if at == nil {
 		return time.Time{}
 	}
-	return time.Unix(0, n)
+	return *at
 }
 
 // recordConfirmed records that the store confirmed the view.
 func (f *Follower) recordConfirmed(now time.Time) {
-	f.confirmedAt.Store(now.UnixNano())
-	f.lastContact.Store(now.UnixNano())
+	f.confirmedAt.Store(&now)
+	f.lastContact.Store(&now)
 }
 
 // IsolatedFor returns the time since the store or another instance last responded. A
 // configuration accepted during that time is unknown to this instance.
 func (f *Follower) IsolatedFor(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.lastContact.Load()))
+	return now.Sub(valueOf(f.lastContact.Load()))
 }
 
 // fetchFromPeers installs a newer configuration from another instance, which may still
@@ -95,7 +98,8 @@
 	if err != nil {
 		return
 	}
-	f.lastContact.Store(time.Now().UnixNano())
+	now := time.Now()
+	f.lastContact.Store(&now)
 	if newer && f.install(s.view()) {
 		f.Log.Info().Msgf("spread: revision %d is in force, received from another instance", s.Manifest.Revision)
 	}
--- a/node/notices.go
+++ b/node/notices.go
@@ -31,12 +31,27 @@
 	Started int64          `json:"started"`
 	Addr    netip.AddrPort `json:"address"`
 	Leaving bool           `json:"leaving,omitempty"`
-	// Until is the end of the pushback in Unix milliseconds; 0 if there is none.
+	// Until is the end of the pushback in Unix milliseconds by the clock of the instance that
+	// got the answer, and ForMS what was left of it when it was stored; 0 if there is none.
 	Until int64 `json:"until,omitempty"`
+	ForMS int64 `json:"for-ms,omitempty"`
 	// By is the instance that got the answer.
 	By string `json:"by"`
 }
 
+// pushback returns what is left of the pushback at now. The clocks of instances may differ, so it
+// is at most what was left when the notice was stored.
+func (v *storedNotice) pushback(now time.Time) time.Duration {
+	if v.Until == 0 {
+		return 0
+	}
+	left := time.UnixMilli(v.Until).Sub(now)
+	if v.ForMS > 0 {
+		left = min(left, time.Duration(v.ForMS)*time.Millisecond)
+	}
+	return left
+}
+
 // notices spreads what answers of targets said over the instances through the store.
 type notices struct {
 	node *Node
@@ -98,6 +113,7 @@
 	}
 	if n.Pushback > 0 {
 		v.Until = now.Add(n.Pushback).UnixMilli()
+		v.ForMS = n.Pushback.Milliseconds()
 	}
 	value, err := json.Marshal(v)
 	if err != nil {
@@ -157,9 +173,7 @@
 		Addr:    v.Addr,
 		Leaving: v.Leaving,
 	}
-	if v.Until > 0 {
-		n.Pushback = time.UnixMilli(v.Until).Sub(now)
-	}
+	n.Pushback = v.pushback(now)
 	if s.node.avail.Record(now, n) {
 		s.node.Log.Info().Str("target", n.Target).Bool("leaving", n.Leaving).Dur("pushback", n.Pushback).Str("by", v.By).Msg("node: target takes no requests, by another instance")
 	}
--- a/sched/retry_budget.go
+++ b/sched/retry_budget.go
@@ -21,6 +21,8 @@
 
 	mu       sync.Mutex
 	services map[string]*windowCounts
+	// firstUse is the time of the first call.
+	firstUse time.Time
 }
 
 // budgetBuckets is the number of buckets in the window, and budgetShare the
@@ -59,7 +61,11 @@
 		c = &windowCounts{}
 		b.services[service] = c
 	}
-	c.advance(now.UnixNano() / int64(b.Window/budgetBuckets))
+	if b.firstUse.IsZero() {
+		b.firstUse = now
+	}
+	// Buckets count from the first use, because the time of day may jump.
+	c.advance(int64(now.Sub(b.firstUse) / (b.Window / budgetBuckets)))
 	return c
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"currantstile/clock"
 	"currantstile/sched"
 )
 
@@ -365,6 +366,21 @@
 	require.LessOrEqual(t, total, 10)
 }
 
+// Guards against a step of the time of day that clears the window, so that the budget is used
+// twice, or that stops it.
+func TestRetryBudgetIgnoresClockSteps(t *testing.T) {
+	now := time.Now()
+	b := &sched.RetryBudget{
+		Window:    10 * time.Second,
+		Slack:     70,
+		StartedAt: now.Add(-time.Minute),
+	}
+	for b.TakeRetry(now, "s", 7) {
+	}
+	require.False(t, b.TakeRetry(clock.Stepped(now.Add(time.Second), 15*time.Second), "s", 7))
+	require.True(t, b.TakeRetry(clock.Stepped(now.Add(11*time.Second), -15*time.Second), "s", 7))
+}
+
 func TestBalancer(t *testing.T) {
 	candidates := []sched.Candidate{
 		{
--- a/watch/health.go
+++ b/watch/health.go
@@ -1,7 +1,7 @@
 package watch
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,59 +28,77 @@
 // limits the rate of calls while the store is unavailable. The zero value is ready
 // for use; a nil Health records nothing and allows every call.
 type Health struct {
-	lastSuccess atomic.Int64
-	lastFailure atomic.Int64
+	mu sync.Mutex
+	// The times keep their monotonic readings: a step of the time of day changes no age.
+	lastSuccess time.Time
+	lastFailure time.Time
+	// available is the result of the last recorded call.
+	available bool
 	// failures counts the failed calls since the last success, up to maxFailures.
-	failures atomic.Int32
+	failures int
 	// lastProbe is the time of the last call allowed while the store was unavailable.
-	lastProbe atomic.Int64
-	listener  atomic.Bool
-	starting  atomic.Bool
+	lastProbe time.Time
+	listener  bool
+	starting  bool
 }
 
 // AllowCall reports whether the store may be called now. While the store is
 // available every call is allowed; during an outage one call is allowed per probe
 // interval, to the first goroutine that requests it.
 func (h *Health) AllowCall(now time.Time) bool {
-	if h == nil || !h.Unavailable() {
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isUnavailable() {
 		return true
 	}
 	limit := maxProbeInterval
 	switch {
-	case h.starting.Load():
+	case h.starting:
 		limit = startProbeInterval
-	case h.listener.Load():
+	case h.listener:
 		limit = listenerProbeInterval
 	}
-	pause := min(minProbeInterval<<max(h.failures.Load()-1, 0), limit)
-	last := h.lastProbe.Load()
-	if now.UnixNano()-max(last, h.lastFailure.Load()) < int64(pause) {
+	pause := min(minProbeInterval<<max(h.failures-1, 0), limit)
+	if now.Sub(h.lastFailure) < pause || !h.lastProbe.IsZero() && now.Sub(h.lastProbe) < pause {
 		return false
 	}
-	return h.lastProbe.CompareAndSwap(last, now.UnixNano())
+	h.lastProbe = now
+	return true
 }
 
 // SetStarting sets whether this instance has not joined the fleet yet.
 func (h *Health) SetStarting(starting bool) {
-	if h != nil {
-		h.starting.Store(starting)
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.starting = starting
 }
 
 // SetListener sets whether other instances read the store on behalf of this one;
 // if so, probes back off further.
 func (h *Health) SetListener(listener bool) {
-	if h != nil {
-		h.listener.Store(listener)
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listener = listener
 }
 
 // ResetBackoff shortens the probe interval to its minimum. It is called when another
 // instance has reached the store, which may therefore be available again.
 func (h *Health) ResetBackoff() {
-	if h != nil {
-		h.failures.Store(0)
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures = 0
 }
 
 // RecordResult records the result of a call. Errors that the store itself returned,
@@ -96,10 +114,14 @@
 
 // RecordSuccess records that the store responded.
 func (h *Health) RecordSuccess(now time.Time) {
-	if h != nil {
-		h.failures.Store(0)
-		h.lastSuccess.Store(now.UnixNano())
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures = 0
+	h.lastSuccess = now
+	h.available = true
 }
 
 // RecordFailure records a call that the store did not carry out. Calls that fail at the
@@ -108,23 +130,42 @@
 	if h == nil {
 		return
 	}
-	if h.failures.Load() == 0 || now.UnixNano()-h.lastFailure.Load() >= int64(minProbeInterval)/2 {
-		h.failures.Store(min(h.failures.Load()+1, maxFailures))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failures == 0 || now.Sub(h.lastFailure) >= minProbeInterval/2 {
+		h.failures = min(h.failures+1, maxFailures)
 	}
-	h.lastFailure.Store(now.UnixNano())
+	h.lastFailure = now
+	h.available = false
 }
 
 // Unavailable reports whether the last recorded call to the store failed.
 func (h *Health) Unavailable() bool {
-	return h != nil && h.lastFailure.Load() > h.lastSuccess.Load()
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isUnavailable()
+}
+
+// isUnavailable is Unavailable for callers that hold mu.
+func (h *Health) isUnavailable() bool {
+	return !h.available && !h.lastFailure.IsZero()
 }
 
-// SinceFailure returns the time since the last failed call. It requires a non-nil Health.
+// SinceFailure returns the time since the last failed call, or the longest duration if none has
+// failed. It requires a non-nil Health.
 func (h *Health) SinceFailure(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - h.lastFailure.Load())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.lastFailure)
 }
 
-// LastSuccess returns the time of the store's last response. It requires a non-nil Health.
+// LastSuccess returns the time of the store's last response, or the zero time. It requires a
+// non-nil Health.
 func (h *Health) LastSuccess() time.Time {
-	return time.Unix(0, h.lastSuccess.Load())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastSuccess
 }
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -187,7 +187,7 @@
 
 // age returns the time since at, or -1 if at is unknown.
 func age(now, at time.Time) time.Duration {
-	if at.IsZero() || at.UnixNano() == 0 {
+	if at.IsZero() {
 		return -1
 	}
 	return now.Sub(at)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -71,8 +71,8 @@
 
 	// listedOnce is set by the first listing. Unlike Listed it is read without mu.
 	listedOnce atomic.Bool
-	// listedAt is when the last complete listing was begun, in Unix nanoseconds.
-	listedAt atomic.Int64
+	// listedAt is when the last complete listing was begun; nil before the first one.
+	listedAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	entries map[string]store.Entry
@@ -111,7 +111,7 @@
 // ListedWithin reports whether a complete listing was begun at most d ago.
 func (f *Follower) ListedWithin(now time.Time, d time.Duration) bool {
 	at := f.listedAt.Load()
-	return at != 0 && now.UnixNano()-at <= int64(d)
+	return at != nil && now.Sub(*at) <= d
 }
 
 // Lookup returns the last known entry of a key.
@@ -196,7 +196,7 @@
 	}
 	f.mu.Unlock()
 	f.update(entries, b.Revision, true)
-	f.listedAt.Store(begun.UnixNano())
+	f.listedAt.Store(&begun)
 	return nil
 }
 
