Views take newer state from any instance, whatever the store says to this one

Cause: after a dropped history, or 0.4 s after a missed message, an instance waited for the store's answer and dropped or held back what others sent. Change: what is known of a prefix is one value with its evidence (view.go, no input or output); history that is lost only decides how the store is read next; missing changes are asked for until they arrive, from the sender and the reader in turn; whoever cannot tell what has been deleted returns all entries. Class: evidence that may never come is waited for while other evidence is there.

--- a/node/node.go
+++ b/node/node.go
@@ -264,8 +264,8 @@
 		Send: func(ctx context.Context, to watch.Peer, m watch.Message) error {
 			return n.pool.Call(ctx, to.Addr, wire.MethodPush, m, &wire.Empty{})
 		},
-		Fetch: func(ctx context.Context, from watch.Peer, args watch.ChangesArgs) (watch.ChangesReply, error) {
-			var reply watch.ChangesReply
+		Fetch: func(ctx context.Context, from watch.Peer, args watch.FetchArgs) (watch.FetchReply, error) {
+			var reply watch.FetchReply
 			err := n.pool.Call(ctx, from.Addr, wire.MethodChanges, args, &reply)
 			return reply, err
 		},
@@ -319,9 +319,9 @@
 }
 
 // Changes serves wire.MethodChanges.
-func (s *FeedService) Changes(args watch.ChangesArgs, reply *watch.ChangesReply) (err error) {
+func (s *FeedService) Changes(args watch.FetchArgs, reply *watch.FetchReply) (err error) {
 	defer errs.Recover("FeedService.Changes", &err)
-	*reply = s.hub.Changes(args)
+	*reply = s.hub.Changes(time.Now(), args)
 	return nil
 }
 
--- /dev/null
+++ b/watch/fetch.go
@@ -0,0 +1,133 @@
+package watch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"currantstile/clock"
+	"currantstile/store"
+)
+
+const (
+	// gapCheckInterval is the interval between two checks for missing changes.
+	gapCheckInterval = 30 * time.Millisecond
+	// fetchTimeout limits one request for state, which may be a large configuration.
+	fetchTimeout = time.Second
+)
+
+// Position is how far an instance knows a prefix.
+type Position struct {
+	Prefix string
+	After  store.Revision
+}
+
+// FetchArgs asks an instance for what it knows of some prefixes beyond the given positions.
+type FetchArgs struct {
+	Positions []Position
+}
+
+// FetchReply carries what an instance knows, with the evidence for it.
+type FetchReply struct {
+	// Current is set if the instance is up to date with the store, as of Age ago, and has been
+	// for Calm without interruption.
+	Current bool
+	Age     time.Duration
+	Calm    time.Duration
+	// Updates hold one part for each prefix that the instance knows further, and if it is
+	// current its position in the others.
+	Updates []PrefixUpdate
+}
+
+// Changes returns what this instance knows beyond the positions of another one.
+func (h *Hub) Changes(now time.Time, args FetchArgs) FetchReply {
+	at, current := h.upToDateAt(now)
+	reply := FetchReply{
+		Current: current,
+	}
+	if current {
+		reply.Age, reply.Calm = now.Sub(at), now.Sub(h.LastOutage())
+	}
+	for _, f := range h.Followers {
+		i := slices.IndexFunc(args.Positions, func(p Position) bool {
+			return p.Prefix == f.Prefix
+		})
+		if i < 0 {
+			continue
+		}
+		if p, ok := f.changesAfter(args.Positions[i].After); ok {
+			reply.Updates = append(reply.Updates, p)
+		} else if p, ok := f.position(); ok && current {
+			reply.Updates = append(reply.Updates, p)
+		}
+	}
+	m := Message{
+		Parts: reply.Updates,
+	}
+	if err := m.pack(); err != nil {
+		h.Log.Error().Err(err).Msg("feed: changes not compressed; sending them as they are")
+	}
+	reply.Updates = m.Parts
+	return reply
+}
+
+// upToDateAt returns the last time at which this instance is known to have been up to date with
+// the store, by its own reading or by another instance, and whether that is recent.
+func (h *Hub) upToDateAt(now time.Time) (time.Time, bool) {
+	h.mu.Lock()
+	at := h.lastMessageAt
+	h.mu.Unlock()
+	if h.inSync(now) && h.Health.LastSuccess().After(at) {
+		at = h.Health.LastSuccess()
+	}
+	return at, now.Sub(at) < readerTimeout
+}
+
+// Current reports whether the followed prefixes are up to date: the last message of a store
+// reader arrived within readerTimeout, or this instance is a store reader in sync.
+func (h *Hub) Current(now time.Time) bool {
+	_, current := h.upToDateAt(now)
+	return current
+}
+
+// fillGaps asks other instances for missing changes until ctx is done.
+func (h *Hub) fillGaps(ctx context.Context) {
+	for clock.Sleep(ctx, gapCheckInterval) {
+		for _, f := range h.Followers {
+			source, after, ok := f.missingFrom(time.Now())
+			if !ok {
+				continue
+			}
+			for _, p := range h.Peers() {
+				if p.Name == source {
+					go h.fetch(ctx, p, []Position{
+						{
+							Prefix: f.Prefix,
+							After:  after,
+						},
+					})
+				}
+			}
+		}
+	}
+}
+
+// fetch asks an instance for what it knows beyond some positions and applies that. It reports
+// whether the instance is up to date with the store.
+func (h *Hub) fetch(ctx context.Context, p Peer, positions []Position) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, err := h.Fetch(ctx, p, FetchArgs{
+		Positions: positions,
+	})
+	if err != nil {
+		h.Log.Info().Err(err).Str("instance", p.Name).Msg("feed: an instance did not say what it knows; asking again later")
+		return false
+	}
+	now := time.Now()
+	if reply.Current {
+		h.recordEvidence(now, now.Add(-reply.Age), p.Name, reply.Calm)
+	}
+	h.receiveUpdates(now, reply.Updates, p.Name)
+	return reply.Current
+}
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -57,6 +57,11 @@
 	Entries store.Entries
 	// Packed holds the entries in compressed form instead.
 	Packed []byte
+	// Complete is set if the entries are all of the prefix, whatever the receiver knows.
+	Complete bool
+	// Listed is set if the store reader has listed the prefix, of which it knew Known before.
+	Listed bool
+	Known  store.Revision
 }
 
 // Message is sent by a store reader to the other instances.
@@ -105,15 +110,16 @@
 	Joined func() bool
 	// Send delivers a message to another instance.
 	Send func(ctx context.Context, to Peer, m Message) error
-	// Fetch asks another instance for changes that this one has missed.
-	Fetch  func(ctx context.Context, from Peer, args ChangesArgs) (ChangesReply, error)
+	// Fetch asks another instance for what this one does not know.
+	Fetch  func(ctx context.Context, from Peer, args FetchArgs) (FetchReply, error)
 	Health *Health
 	Log    log.Logger
 
 	mu sync.Mutex
-	// startedAt is when Run began; lastHeard is when the last message of a store reader
-	// was received.
+	// startedAt is when Run began, and lastPushAt when the last message of a store reader was
+	// received. lastMessageAt is also moved by replies of instances that were asked.
 	startedAt     time.Time
+	lastPushAt    time.Time
 	lastMessageAt time.Time
 	// lastOutage is the last time at which this instance was out of sync with the store.
 	lastOutage time.Time
@@ -223,7 +229,7 @@
 			clock.Sleep(ctx, deferralInterval)
 			continue
 		}
-		if !h.mayRead(now, f.Readers) && !f.needsStore() || !h.Health.AllowCall(now) {
+		if !h.mayRead(now, f.Readers) && !f.needsStore(now) || !h.Health.AllowCall(now) {
 			clock.Sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -361,7 +367,7 @@
 		From: h.Self,
 	}
 	for _, f := range h.Followers {
-		if p := f.position(); f.Listed() {
+		if p, ok := f.position(); ok {
 			m.Parts = append(m.Parts, p)
 		}
 	}
@@ -371,40 +377,48 @@
 // Receive applies a message of a store reader.
 func (h *Hub) Receive(now time.Time, m Message) {
 	h.mu.Lock()
+	h.lastPushAt = now
+	h.mu.Unlock()
+	h.recordEvidence(now, now, m.From, m.Calm)
+	// The sender has only passed the message on and may lack earlier ones itself.
+	h.receiveUpdates(now, m.Parts, m.sender(), m.From)
+	go h.passOn(m)
+}
+
+// recordEvidence records that another instance was up to date with the store at a time, and for
+// how long it had been without interruption.
+func (h *Hub) recordEvidence(now, at time.Time, from string, calm time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if now.Sub(h.lastMessageAt) >= readerTimeout {
 		h.Health.ResetBackoff()
 	}
-	h.lastMessageAt = now
-	h.lastReader = m.From
-	if syncedSince := now.Add(-m.Calm); syncedSince.Before(h.lastOutage) {
+	if at.After(h.lastMessageAt) {
+		h.lastMessageAt = at
+		h.lastReader = from
+	}
+	if syncedSince := at.Add(-calm); syncedSince.Before(h.lastOutage) {
 		// Only this instance was cut off, from the store or from all other instances.
 		h.lastOutage = syncedSince
 	}
-	h.mu.Unlock()
-	for _, p := range m.Parts {
+}
+
+// receiveUpdates applies updates from another instance.
+func (h *Hub) receiveUpdates(now time.Time, updates []PrefixUpdate, sources ...string) {
+	for _, p := range updates {
 		p, err := p.unpacked()
 		if err != nil {
 			// The position of the next ping shows the gap.
-			h.Log.Warn().Err(err).Str("instance", m.sender()).Msg("feed: invalid update; ignoring it")
+			h.Log.Warn().Err(err).Strs("instances", sources).Msg("feed: invalid update; ignoring it")
 			continue
 		}
 		for _, f := range h.Followers {
 			if f.Prefix == p.Prefix {
-				f.receive(now, p, m.sender())
+				f.receive(now, p, sources...)
 			}
 		}
 	}
-	go h.passOn(m)
 }
 
 // readerTimeout is the maximum time since the last message of a store reader.
 const readerTimeout = 1200 * time.Millisecond
-
-// Current reports whether the followed prefixes are up to date: the last message of a store
-// reader arrived within readerTimeout, or this instance is a store reader in sync.
-func (h *Hub) Current(now time.Time) bool {
-	h.mu.Lock()
-	lastMessageAt := h.lastMessageAt
-	h.mu.Unlock()
-	return now.Sub(lastMessageAt) < readerTimeout || h.inSync(now)
-}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -5,7 +5,8 @@
 // an instance whose store calls are rejected still receives changes.
 //
 // After a compacted history, a lost response or an outage the prefix is listed or
-// watched again; known entries are kept meanwhile.
+// watched again; known entries are kept meanwhile. Whatever its own store calls do, an
+// instance takes newer state from others, and asks them for it while it gets no messages.
 //
 // # Usage
 //
@@ -16,7 +17,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,32 +74,15 @@
 	// listedAt is when the last complete listing was begun; nil before the first one.
 	listedAt atomic.Pointer[time.Time]
 
-	mu      sync.Mutex
-	entries map[string]store.Entry
-	// listed is true from the first listing until the store has compacted the history.
-	listed bool
-	// revision is the store revision up to which the prefix is known; changeRevision is
-	// that of the last change that was not filtered by Same.
-	revision       store.Revision
-	changeRevision store.Revision
-	// missedChange is true after a missed change, which has to be read from the store.
-	missedChange bool
-	// missing is set while changes are missing that other instances have, and held are
-	// the updates that cannot be applied before them.
-	missing *gap
-	held    []PrefixUpdate
-	// changedAt is the revision of the last change of each key that Same did not filter,
-	// and deletions that of each deletion after deletionsFrom.
-	changedAt     map[string]store.Revision
-	deletions     map[string]store.Revision
-	deletionsFrom store.Revision
+	mu   sync.Mutex
+	view view
 }
 
-// Listed reports whether the prefix has been listed completely.
+// Listed reports whether all keys of the prefix are known up to some revision.
 func (f *Follower) Listed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listed
+	return f.view.complete
 }
 
 // ListedOnce reports whether the prefix has ever been listed completely. Unlike Listed it
@@ -118,14 +101,17 @@
 func (f *Follower) Lookup(key string) (store.Entry, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e, ok := f.entries[key]
+	e, ok := f.view.entries[key]
 	return e, ok
 }
 
 // poll makes one store call, and returns the delay before the next one.
 func (f *Follower) poll(ctx context.Context) time.Duration {
+	f.mu.Lock()
+	canWatch, after := f.view.announces(), f.view.revision
+	f.mu.Unlock()
 	var err error
-	if f.Listed() {
+	if canWatch {
 		err = f.watch(ctx)
 	} else {
 		err = f.list(ctx)
@@ -141,7 +127,7 @@
 	case errors.Is(err, store.ErrCompacted):
 		f.Log.Info().Msgf("feed: history of %s was compacted; listing it again", f.Prefix)
 		f.mu.Lock()
-		f.listed = false
+		f.view.loseHistory(after)
 		f.mu.Unlock()
 		return 0
 	default:
@@ -157,7 +143,7 @@
 // watch makes one watch call and applies the changes that it returns.
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
-	after := f.revision
+	after := f.view.revision
 	f.mu.Unlock()
 	wait := watchTimeout
 	if f.Health.Unavailable() {
@@ -172,144 +158,97 @@
 	return nil
 }
 
-// list reads all keys, and adds a deletion for each known key that is not listed.
+// list reads all keys.
 func (f *Follower) list(ctx context.Context) error {
 	begun := time.Now()
 	b, err := f.KV.List(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
-	entries := b.Entries
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.Key] = true
-	}
-	f.mu.Lock()
-	for key := range f.entries {
-		if !listed[key] {
-			entries = append(entries, store.Entry{
-				Key:      key,
-				Revision: b.Revision,
-				Deleted:  true,
-			})
-		}
-	}
-	f.mu.Unlock()
-	f.update(entries, b.Revision, true)
+	f.update(b.Entries, b.Revision, true)
 	f.listedAt.Store(&begun)
 	return nil
 }
 
-// update applies entries that bring the prefix up to a revision, and queues the
-// changes among them for the other instances.
+// update applies entries that the store returned, and queues the changes among them for the
+// other instances.
 func (f *Follower) update(entries store.Entries, upTo store.Revision, listed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before, first := f.changeRevision, !f.listed
-	changed := f.apply(entries)
-	f.revision = max(f.revision, upTo)
-	f.missedChange = false
-	if listed {
-		// Keys that were deleted before the listing are not known.
-		f.deletionsFrom = max(f.deletionsFrom, upTo)
-	}
-	f.listed = f.listed || listed
-	if listed {
-		f.listedOnce.Store(true)
-	}
-	f.applyHeld()
-	if len(changed) == 0 && !listed {
-		return
-	}
-	initial := first && before == 0
-	f.changeRevision = max(f.changeRevision, upTo)
-	// The first listing is not broadcast: the other instances list the prefix themselves.
-	if f.hub != nil && len(changed) > 0 && !initial {
-		f.hub.enqueue(PrefixUpdate{
-			Prefix:  f.Prefix,
-			Before:  before,
-			UpTo:    f.revision,
-			Entries: changed,
-		})
+	changes, update := f.known().read(entries, upTo, listed)
+	f.applyChanges(time.Now(), changes)
+	if update != nil && f.hub != nil {
+		f.hub.enqueue(*update)
 	}
 }
 
-// apply stores entries, applies those that are changes and returns them. The caller
-// must hold mu.
-func (f *Follower) apply(entries store.Entries) store.Entries {
-	if f.entries == nil {
-		f.entries = make(map[string]store.Entry)
-	}
-	var changes []Change
-	var changed store.Entries
-	for _, e := range entries {
-		old, ok := f.entries[e.Key]
-		if !strings.HasPrefix(e.Key, f.Prefix) || ok && e.Revision <= old.Revision || f.deletions[e.Key] >= e.Revision {
-			continue
-		}
-		if !ok && e.Deleted {
-			// Another instance may know the key, so the deletion is passed on.
-			f.recordChange(e)
-			changed = append(changed, e)
-			continue
-		}
-		if e.Deleted {
-			delete(f.entries, e.Key)
-		} else {
-			f.entries[e.Key] = e
-		}
-		if ok && !e.Deleted && f.Same != nil && f.Same(old.Value, e.Value) {
-			continue
-		}
-		f.recordChange(e)
-		changed = append(changed, e)
-		changes = append(changes, Change{
-			Entry: e,
-		})
+// known returns the view. The caller must hold mu.
+func (f *Follower) known() *view {
+	f.view.prefix, f.view.same = f.Prefix, f.Same
+	return &f.view
+}
+
+// applyChanges passes changes on to Apply. The caller must hold mu.
+func (f *Follower) applyChanges(now time.Time, changes []Change) {
+	if f.view.complete {
+		f.listedOnce.Store(true)
 	}
 	if len(changes) > 0 {
-		f.Apply(time.Now(), changes)
+		f.Apply(now, changes)
 	}
-	return changed
 }
 
-// receive applies an update that the given instance sent. It returns false if changes
-// before it are missing; the update is then held back until they arrive.
-func (f *Follower) receive(now time.Time, p PrefixUpdate, source string) bool {
+// receive applies an update from another instance. It returns false if changes before it are
+// missing; the sources are the instances to ask for them.
+func (f *Follower) receive(now time.Time, p PrefixUpdate, sources ...string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case !f.listed:
-		if len(p.Entries) > 0 {
-			f.Log.Info().Str("instance", source).Uint64("revision", uint64(p.UpTo)).Uint64("known", uint64(f.revision)).
-				Msgf("feed: changes of %s not applied: the prefix has not been listed", f.Prefix)
-		}
-		f.missedChange = true
-		return false
-	case p.Before > f.revision:
-		f.holdUpdate(now, p, source)
-		return false
+	changes, ok := f.known().receive(now, p, sources...)
+	f.applyChanges(now, changes)
+	return ok
+}
+
+// missingFrom returns the instance to ask for missing changes now, and the revision after which
+// they are missing.
+func (f *Follower) missingFrom(now time.Time) (source string, after store.Revision, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.known()
+	if v.missing != nil && !v.missing.reported && v.needsStore(now) {
+		v.missing.reported = true
+		f.Log.Info().Strs("instances", v.missing.sources).Uint64("needed", uint64(v.missing.needed)).Uint64("known", uint64(v.revision)).
+			Dur("age", now.Sub(v.missing.since)).Bool("listed", v.complete).Msgf("feed: missing changes of %s not received; reading them from the store as well", f.Prefix)
 	}
-	f.applyUpdate(p)
-	f.applyHeld()
-	return true
+	return v.ask(now)
+}
+
+// changesAfter returns what this instance knows of the prefix beyond a revision. It reports
+// false if that is nothing.
+func (f *Follower) changesAfter(after store.Revision) (PrefixUpdate, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known().changesAfter(after)
 }
 
 // position returns an update without entries, by which other instances detect that
-// they have missed a change.
-func (f *Follower) position() PrefixUpdate {
+// they have missed a change. It reports false if this instance does not know the prefix up to
+// date with the store.
+func (f *Follower) position() (PrefixUpdate, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return PrefixUpdate{
-		Prefix: f.Prefix,
-		Before: f.changeRevision,
-		UpTo:   f.revision,
-	}
+	return f.known().position(), f.view.announces()
+}
+
+// revision returns the revision up to which the prefix is known.
+func (f *Follower) revision() store.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.revision
 }
 
 // needsStore reports whether the prefix must be read from the store regardless of role.
-func (f *Follower) needsStore() bool {
+func (f *Follower) needsStore(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.listed || f.missedChange
+	return f.view.needsStore(now)
 }
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -73,6 +73,6 @@
 	// ServiceFeed is the name under which the methods are registered with net/rpc.
 	ServiceFeed = "Feed"
 	MethodPush  = "Feed.Push"
-	// MethodChanges asks for changes that were missed.
+	// MethodChanges asks an instance for what it knows of the store beyond some revisions.
 	MethodChanges = "Feed.Changes"
 )
