An instance that gets no messages asks others for their state

Cause: messages go to the instances that are listed, and its key had expired. Change: while neither messages nor responses of the store arrive, an instance asks others what they know beyond its own revisions: three at random until one is up to date, then that one each 250 ms.

--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"currantstile/clock"
@@ -12,8 +14,18 @@
 const (
 	// gapCheckInterval is the interval between two checks for missing changes.
 	gapCheckInterval = 30 * time.Millisecond
+	// minCatchUpInterval is the interval at which an instance that gets neither messages nor
+	// responses of the store asks others for their state. It doubles up to
+	// maxCatchUpInterval while none of those that it asks is up to date.
+	minCatchUpInterval = 250 * time.Millisecond
+	maxCatchUpInterval = 2 * time.Second
+	// catchUpDelay is for how long no message must have arrived before an instance asks.
+	catchUpDelay = takeoverDelay
 	// fetchTimeout limits one request for state, which may be a large configuration.
 	fetchTimeout = time.Second
+	// catchUpChoices is the number of instances that are asked at once, as long as none is known
+	// to be up to date.
+	catchUpChoices = 3
 )
 
 // Position is how far an instance knows a prefix.
@@ -112,6 +124,82 @@
 	}
 }
 
+// catchUp asks other instances for their state while this one gets no messages and the store does
+// not respond to it, until ctx is done. An instance whose key has expired gets no messages,
+// though others may reach it.
+func (h *Hub) catchUp(ctx context.Context) {
+	interval := minCatchUpInterval
+	source := ""
+	for clock.Sleep(ctx, interval) {
+		now := time.Now()
+		if !h.mustCatchUp(now) {
+			interval, source = minCatchUpInterval, ""
+			continue
+		}
+		if source = h.fetchAll(ctx, h.catchUpPeers(source)); source != "" {
+			interval = minCatchUpInterval
+		} else {
+			interval = min(2*interval, maxCatchUpInterval)
+		}
+	}
+}
+
+// mustCatchUp reports whether neither messages nor the store keep this instance up to date.
+func (h *Hub) mustCatchUp(now time.Time) bool {
+	h.mu.Lock()
+	silent := now.Sub(h.lastPushAt) >= catchUpDelay && now.Sub(h.startedAt) >= catchUpDelay
+	h.mu.Unlock()
+	return silent && (h.Health.Unavailable() || now.Sub(h.Health.LastSuccess()) >= storeTimeout)
+}
+
+// catchUpPeers returns the instances to ask: the source, which has shown to be up to date, or some
+// at random if it is empty or gone.
+func (h *Hub) catchUpPeers(source string) []Peer {
+	var peers []Peer
+	for _, p := range h.Peers() {
+		switch p.Name {
+		case h.Self:
+		case source:
+			return []Peer{p}
+		default:
+			peers = append(peers, p)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) {
+		peers[i], peers[j] = peers[j], peers[i]
+	})
+	return peers[:min(len(peers), catchUpChoices)]
+}
+
+// fetchAll asks some instances for their state, and returns the name of one that is up to date, or
+// an empty string.
+func (h *Hub) fetchAll(ctx context.Context, peers []Peer) string {
+	var wg sync.WaitGroup
+	current := make([]bool, len(peers))
+	for i, p := range peers {
+		wg.Go(func() {
+			current[i] = h.fetch(ctx, p, h.positions())
+		})
+	}
+	wg.Wait()
+	if i := slices.Index(current, true); i >= 0 {
+		return peers[i].Name
+	}
+	return ""
+}
+
+// positions returns how far this instance knows each prefix.
+func (h *Hub) positions() []Position {
+	positions := make([]Position, 0, len(h.Followers))
+	for _, f := range h.Followers {
+		positions = append(positions, Position{
+			Prefix: f.Prefix,
+			After:  f.revision(),
+		})
+	}
+	return positions
+}
+
 // fetch asks an instance for what it knows beyond some positions and applies that. It reports
 // whether the instance is up to date with the store.
 func (h *Hub) fetch(ctx context.Context, p Peer, positions []Position) bool {
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -161,6 +161,9 @@
 	wg.Go(func() {
 		h.fillGaps(ctx)
 	})
+	wg.Go(func() {
+		h.catchUp(ctx)
+	})
 	wg.Wait()
 }
 
