An instance that may be outdated does not deny

Change: it answers 503 with Retry-After, which promises that the request has not run, until it is up to date; what its configuration allows is served as before.

--- a/node/node.go
+++ b/node/node.go
@@ -210,6 +210,7 @@
 		Addr:           s.Callers,
 		Codec:          n.Codec,
 		Config:         n.config.Load,
+		UpToDate:       n.hub.Current,
 		Limiter:        n.limiter,
 		Screen:         n.screen,
 		Router:         n.router,
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -90,11 +90,14 @@
 	Codec Codec
 	// Config returns the current configuration, or nil before the first one is
 	// loaded.
-	Config  func() *config.Config
-	Limiter Limiter
-	Screen  Screen
-	Router  *Router
-	Conns   *origin.Pool
+	Config func() *config.Config
+	// UpToDate reports whether the configuration is known to be the newest one, or has been
+	// lately; nil means that it always is.
+	UpToDate func(now time.Time) bool
+	Limiter  Limiter
+	Screen   Screen
+	Router   *Router
+	Conns    *origin.Pool
 	// ObserveRequest is called after each request, for metrics; it may be nil.
 	ObserveRequest func(route, org string, x *Exchange)
 	// Network is the network to listen in; nil is the operating system's.
@@ -251,9 +254,22 @@
 }
 
 // noConfigRetryAfter is the retry delay for callers of an instance that has no
-// configuration yet; the retry may go to another instance.
+// configuration yet, or an outdated one; the retry may go to another instance.
 const noConfigRetryAfter = 200 * time.Millisecond
 
+// deny returns the refusal of a request that the configuration does not allow. A newer one may,
+// so an instance that may be outdated only asks the caller to try again.
+func (g *Gate) deny(now time.Time, status int, reason string) *Refusal {
+	if g.UpToDate == nil || g.UpToDate(now) {
+		return newRefusal(status, reason)
+	}
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "outdated-" + reason,
+		RetryAfter: noConfigRetryAfter,
+	}
+}
+
 // prepare parses, authenticates and rate-limits a request. It returns nil if the
 // request may be sent to a target.
 func (g *Gate) prepare(now time.Time, x *Exchange, r *http.Request) *Refusal {
@@ -275,7 +291,7 @@
 	}
 	route, ok := cfg.Route(c.Host, c.Path)
 	if !ok {
-		return newRefusal(http.StatusNotFound, "no-route")
+		return g.deny(now, http.StatusNotFound, "no-route")
 	}
 	x.Route = route
 	x.Deadline = now.Add(route.Timeout)
@@ -287,7 +303,7 @@
 	}
 	if cfg.RequiresKeys() && !route.Public {
 		if x.Org, ok = cfg.OrganisationByKey(c.Key); !ok {
-			return newRefusal(http.StatusUnauthorized, "unknown-key")
+			return g.deny(now, http.StatusUnauthorized, "unknown-key")
 		}
 	}
 	if refusal := g.readBody(x, r); refusal != nil {
--- a/watch/outdated_test.go
+++ b/watch/outdated_test.go
@@ -346,6 +346,27 @@
 	})
 }
 
+// Guards against instances that keep each other up to date while the store rejects all of them: what
+// they say is as old as what they have heard from the store.
+func TestInstancesCutOffTogetherAreNotCurrent(t *testing.T) {
+	playFleet(t, func(f *testFleet) {
+		for _, i := range f.instances {
+			require.True(t, i.hub.Current(time.Now()))
+			i.kv.refuse("")
+		}
+		time.Sleep(10 * time.Second)
+		for name, i := range f.instances {
+			require.False(t, i.hub.Current(time.Now()), name)
+		}
+		f.write(valuePrefix+"route", "added")
+		f.instances[f.listener()].kv.refuse()
+		f.requireValue("route", "added")
+		for name, i := range f.instances {
+			require.True(t, i.hub.Current(time.Now()), name)
+		}
+	})
+}
+
 // Guards against a reader that takes the store's last response for a recent one after its time
 // of day was set back, and keeps the others from reading.
 func TestReaderWithClockSetBackIsReplaced(t *testing.T) {
