--- a/config/config.go
+++ b/config/config.go
@@ -184,6 +184,8 @@
 	Services      []Service
 	Organisations []Organisation
 	Limits        Limits
+	// Notes say what of the source is in force in another way than it is written.
+	Notes []string
 }
 
 // Validate returns all errors of the document at once, as model.FieldErrors.
--- a/node/sources.go
+++ b/node/sources.go
@@ -83,6 +83,9 @@
 		if n.config.CompareAndSwap(old, cfg) {
 			n.Log.Info().Uint64("configuration", cfg.Version).Int("routes", len(cfg.Routes)).
 				Int("organisations", len(cfg.Organisations)).Msg("node: configuration in force")
+			for _, note := range cfg.Notes {
+				n.Log.Warn().Uint64("configuration", cfg.Version).Str("note", note).Msg("node: part of the configuration is in force in another way")
+			}
 			return
 		}
 	}
