Odd entries of another writer name no target and end nothing

Change: bounds of what an entry may say, of instances' records, reports and notices too; a follower applies the other entries if one panics.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"currantstile/fleet"
 	"currantstile/store"
 )
@@ -16,7 +18,14 @@
 	if err := json.Unmarshal(value, v); err != nil {
 		return netip.AddrPort{}, err
 	}
-	return netip.ParseAddrPort(v.Peers)
+	if v.Cores < 0 || v.Cores > maxCores || v.LinkMbit < 0 || v.LinkMbit > maxLinkMbit {
+		return netip.AddrPort{}, errors.Errorf("%g cores and %g Mbit/s are out of range", v.Cores, v.LinkMbit)
+	}
+	addr, err := netip.ParseAddrPort(v.Peers)
+	if err == nil && (addr.Port() == 0 || addr.Addr().IsUnspecified()) {
+		err = errors.Errorf("no instance is at %s", addr)
+	}
+	return addr, err
 }
 
 // claimTargets claims the targets that this instance should manage, at most
--- a/elect/register_test.go
+++ b/elect/register_test.go
@@ -62,3 +62,18 @@
 	const due = leaseTime / renewalsPerLease
 	require.Less(t, due+2*(renewTimeout+renewRetryDelay), leaseTime)
 }
+
+// Guards against an instance that others call in vain, or that is given all targets, since another
+// writer has left an odd entry in place of its record.
+func TestOddInstanceRecordIsIgnored(t *testing.T) {
+	for _, value := range []string{
+		`{"peers":"10.0.0.9:0"}`, `{"peers":"0.0.0.0:80"}`, `{"peers":"10.0.0.9:70000"}`, `{"peers":"10.0.0.9:80","cores":1e308}`,
+		`{"peers":"10.0.0.9:80","cores":-1}`, `{"peers":"10.0.0.9:80","link-mbit":1e300}`, `{}`, `[]`, ``,
+	} {
+		_, err := parseInstance([]byte(value), &instanceValue{})
+		require.Error(t, err, value)
+	}
+	addr, err := parseInstance([]byte(`{"peers":"10.0.0.9:80","cores":0.4,"link-mbit":1000}`), &instanceValue{})
+	require.NoError(t, err)
+	require.Equal(t, uint16(80), addr.Port())
+}
--- a/elect/session.go
+++ b/elect/session.go
@@ -64,6 +64,9 @@
 	suspensionTolerance = 300 * time.Millisecond
 	// maxClaimsPerStep bounds the writes of claims in one step.
 	maxClaimsPerStep = 8
+	// maxCores and maxLinkMbit bound what an instance's record may say of its machine.
+	maxCores    = 1 << 16
+	maxLinkMbit = 1 << 24
 )
 
 // instanceValue is the value of an instance's key.
--- a/node/notices.go
+++ b/node/notices.go
@@ -23,6 +23,8 @@
 	// minSharedPushback is the shortest pushback that is stored: a shorter one is over before
 	// all have learned it.
 	minSharedPushback = 500 * time.Millisecond
+	// maxForMS bounds the pushback of a stored notice, in milliseconds.
+	maxForMS = int64(time.Hour / time.Millisecond)
 )
 
 // storedNotice is the value of a notice's key.
@@ -47,7 +49,7 @@
 	}
 	left := time.UnixMilli(v.Until).Sub(now)
 	if v.ForMS > 0 {
-		left = min(left, time.Duration(v.ForMS)*time.Millisecond)
+		left = min(left, time.Duration(min(v.ForMS, maxForMS))*time.Millisecond)
 	}
 	return left
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -138,7 +138,7 @@
 // for old reports, which a starting instance reads.
 func (t *EndedTarget) endedBefore(now time.Time) time.Duration {
 	ago := now.Sub(time.UnixMilli(t.At))
-	live := time.Duration(max(t.AgoMS, 0)) * time.Millisecond
+	live := time.Duration(min(max(t.AgoMS, 0), maxTrialDelay.Milliseconds())) * time.Millisecond
 	if ago < live+maxClockError {
 		return live
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -24,6 +24,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"currantstile/errs"
 	"currantstile/store"
 )
 
@@ -48,7 +49,8 @@
 type Follower struct {
 	KV     store.KV
 	Prefix string
-	// Apply is called with the changes in order. Calls do not overlap.
+	// Apply is called with the changes in order. Calls do not overlap. If one panics, its
+	// changes are applied again one by one.
 	Apply func(now time.Time, changes []Change)
 	// Same reports whether two values are equivalent; a change to an equivalent value
 	// is not applied. If nil, every change is applied.
@@ -193,9 +195,26 @@
 	if f.view.complete {
 		f.listedOnce.Store(true)
 	}
-	if len(changes) > 0 {
+	if len(changes) == 0 || f.tryApply(now, changes) {
+		return
+	}
+	// One entry that can't be applied must not keep the others back.
+	for _, c := range changes {
+		f.tryApply(now, []Change{c})
+	}
+}
+
+// tryApply calls Apply. It reports false if that panics.
+func (f *Follower) tryApply(now time.Time, changes []Change) bool {
+	var err error
+	func() {
+		defer errs.Recover("Follower.Apply", &err)
 		f.Apply(now, changes)
+	}()
+	if err != nil {
+		f.Log.Error().Err(err).Str("key", changes[0].Entry.Key).Int("entries", len(changes)).Msg("feed: entries could not be applied")
 	}
+	return err == nil
 }
 
 // receive applies an update from another instance. It returns false if changes before it are
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -299,3 +299,24 @@
 	require.False(t, p.reader.ListedWithin(now.Add(time.Hour), time.Minute))
 	require.False(t, (&Follower{}).ListedWithin(now, time.Minute))
 }
+
+// Guards against an entry that ends the process, again after each start, or keeps the others back.
+func TestPanicOfOneEntryIsContained(t *testing.T) {
+	p := newFollowerPair(t)
+	apply := p.listener.Apply
+	p.listener.Apply = func(now time.Time, changes []Change) {
+		for _, c := range changes {
+			if string(c.Entry.Value) == "odd" {
+				panic("odd entry")
+			}
+			apply(now, []Change{c})
+		}
+	}
+	p.putAndWatch(t, "a/1", "odd")
+	p.putAndWatch(t, "a/2", "x")
+	require.NoError(t, p.listener.watch(context.Background()))
+	require.Equal(t, map[string]string{"a/2": "x"}, p.values)
+	p.putAndWatch(t, "a/1", "y")
+	require.NoError(t, p.listener.watch(context.Background()))
+	require.Equal(t, map[string]string{"a/1": "y", "a/2": "x"}, p.values)
+}
