A stopping instance answers what it has taken, or refuses it

Cause: nothing compared the time that is left with the time that an answer takes, and running requests were aborted with their connections. Class: a decision that is taken once, before a wait.

--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -204,7 +204,7 @@
 	{
 		rule: "LOST: drain before the end",
 		file: "node/node.go",
-		old:  "\tn.gate.Drain()\n",
+		old:  "\tn.gate.Drain(until)\n",
 		new:  "",
 		pkg:  "platform",
 		test: "TestStopAnswersWhatWasAccepted",
--- a/node/node.go
+++ b/node/node.go
@@ -50,7 +50,7 @@
 	// second and removes an instance after two failed checks.
 	drainDelay = 2300 * time.Millisecond
 	// shutdownMargin is the part of the grace period that remains when running
-	// requests are cut off.
+	// requests are ended.
 	shutdownMargin = 700 * time.Millisecond
 	// removalGrace is how long a target is kept after its entry was deleted around
 	// a store outage, so that it can write the entry again.
@@ -440,13 +440,12 @@
 // grace period.
 func (n *Node) Stop() {
 	start := time.Now()
+	until := start.Add(n.Settings.Grace - shutdownMargin)
 	n.draining.Store(true)
-	n.gate.Drain()
+	n.gate.Drain(until)
 	n.Log.Info().Int64("running", n.gate.Running()).Msg("node: draining; waiting for running requests")
 	time.Sleep(min(drainDelay, n.Settings.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(n.Settings.Grace-shutdownMargin))
-	defer cancel()
-	if err := n.gate.Stop(ctx); err != nil {
+	if err := n.gate.Stop(until); err != nil {
 		n.Log.Warn().Err(err).Msg("node: grace period is over; running requests were cut off")
 	}
 	n.cancel()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -133,7 +133,11 @@
 			x.fail(ctx, refusal, last)
 			return
 		}
-		if refusal := x.checkAgain(ctx); refusal != nil {
+		refusal = x.checkDrain(time.Now())
+		if refusal == nil {
+			refusal = x.checkAgain(ctx)
+		}
+		if refusal != nil {
 			place.release(time.Now(), endNotExecuted)
 			x.fail(ctx, refusal, last)
 			return
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -109,7 +109,12 @@
 	idle      idleConns
 	crashes   crashDetector
 	draining  atomic.Bool
-	running   atomic.Int64
+	// drainUntil is until when requests are answered, once the instance is to end, and ending is
+	// cancelled then.
+	drainUntil atomic.Pointer[time.Time]
+	ending     context.Context
+	end        context.CancelFunc
+	running    atomic.Int64
 }
 
 const (
@@ -131,6 +136,7 @@
 		return errs.WithPeer(err, "Gate.Start", g.Addr)
 	}
 	g.boundAddr = ln.Addr().(*net.TCPAddr).AddrPort()
+	g.ending, g.end = context.WithCancel(context.Background())
 	g.crashes.refuses = g.Conns.Refuses
 	g.crashes.view = g.Router.Registry.View
 	g.crashes.saidLeaving = g.Router.Avail.IsLeaving
@@ -180,21 +186,21 @@
 	return g.running.Load()
 }
 
-// Drain makes every following response close its connection, so that callers move
-// to other instances.
-func (g *Gate) Drain() {
-	g.draining.Store(true)
-}
-
-// Stop closes the listener and idle connections, and waits for running requests
-// until ctx ends. Requests still running then are aborted and an error is returned.
-func (g *Gate) Stop(ctx context.Context) error {
-	g.Drain()
+// Stop closes the listener and idle connections, and waits for running requests until the given
+// time. Requests still running then are ended with an answer if there is none yet, and an error is
+// returned if that takes too long.
+func (g *Gate) Stop(until time.Time) error {
+	g.Drain(until)
+	atEnd := time.AfterFunc(time.Until(until), g.end)
+	defer atEnd.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), until.Add(lastAnswerTime))
+	defer cancel()
 	err := g.server.Shutdown(ctx)
 	if err != nil {
 		// Aborts the requests that did not finish in time.
 		_ = g.server.Close()
 	}
+	g.end()
 	return errs.WithPeer(err, "Gate.Stop", g.boundAddr)
 }
 
@@ -235,6 +241,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline.Add(-responseMargin))
 	defer cancel()
+	defer g.endWith(cancel)()
 	x.serve(ctx)
 }
 
@@ -301,6 +308,9 @@
 	if c.Deadline.Before(x.Deadline) {
 		x.Deadline = c.Deadline
 	}
+	if until := g.endsAt(); !until.IsZero() && until.Before(x.Deadline) {
+		x.Deadline = until
+	}
 	if cfg.RequiresKeys() && !route.Public {
 		if x.Org, ok = cfg.OrganisationByKey(c.Key); !ok {
 			return g.deny(now, http.StatusUnauthorized, "unknown-key")
@@ -309,6 +319,9 @@
 	if refusal := g.readBody(x, r); refusal != nil {
 		return refusal
 	}
+	if refusal := x.checkDrain(time.Now()); refusal != nil {
+		return refusal
+	}
 	if refusal := x.checkFeatures(r.Context()); refusal != nil {
 		return refusal
 	}
@@ -341,11 +354,16 @@
 	defer func() {
 		_ = rc.SetReadDeadline(time.Time{})
 	}()
+	defer g.endWith(func() {
+		_ = rc.SetReadDeadline(time.Now())
+	})()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, "body-too-large")
+	case err != nil && g.ending != nil && g.ending.Err() != nil:
+		return newRefusal(http.StatusServiceUnavailable, "instance-ends")
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, "body-not-read")
 	}
