--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -95,6 +95,13 @@
 	return at, now.Sub(at) < readerTimeout
 }
 
+// Evidence returns how long ago this instance is known to have been up to date with the store, by its
+// own reading or by another instance, and whether that counts as up to date.
+func (h *Hub) Evidence(now time.Time) (time.Duration, bool) {
+	at, current := h.upToDateAt(now)
+	return now.Sub(at), current
+}
+
 // Current reports whether the followed prefixes are up to date: the last message of a store
 // reader arrived within readerTimeout, or this instance is a store reader in sync.
 func (h *Hub) Current(now time.Time) bool {
