Three guards whose tests did not guard

Cause: run on the landed code, the tests of the guards for a refused fence, readiness while draining and a route's time limit pass without them.

--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -108,6 +108,10 @@
 		b.RecordRefusal("t1", token)
 		_, ok = b.MayOrder(time.Now().Add(leaseTime+time.Millisecond), "t1")
 		require.False(t, ok, "a refused token is not used again")
+		b.claimTargets(ctx, now)
+		again, ok := b.MayOrder(time.Now().Add(leaseTime+time.Millisecond), "t1")
+		require.True(t, ok, "the target is claimed again")
+		require.Greater(t, again, token)
 	})
 }
 
--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -351,7 +351,7 @@
 		old:  "x.Deadline = now.Add(route.Timeout)",
 		new:  "x.Deadline = now.Add(route.Timeout + time.Hour)",
 		pkg:  "platform",
-		test: "TestSendStepsAndFaults",
+		test: "TestForwardedRequest",
 	},
 	{
 		rule: "DRAIN: readiness",
