An instance asks others that were listed, and a waiting watch counts as up to date

Cause: an instance that learned last that the keys of all others had expired knew nobody to ask. Change: instances that were listed in the last five minutes are asked too. Besides: an instance that reads alone and whose watch waits for changes counted as outdated after 0.7 s, so that it would answer 503 instead of 404; for denials it is up to date while the store responds to its renewals.

--- a/node/node.go
+++ b/node/node.go
@@ -210,7 +210,7 @@
 		Addr:           s.Callers,
 		Codec:          n.Codec,
 		Config:         n.config.Load,
-		UpToDate:       n.hub.Current,
+		UpToDate:       n.hub.UpToDate,
 		Limiter:        n.limiter,
 		Screen:         n.screen,
 		Router:         n.router,
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -21,6 +21,10 @@
 	maxCatchUpInterval = 2 * time.Second
 	// catchUpDelay is for how long no message must have arrived before an instance asks.
 	catchUpDelay = takeoverDelay
+	// rememberInterval is the interval at which the listed instances are recorded, and
+	// rememberPeriod how long one is asked after it was listed last.
+	rememberInterval = 500 * time.Millisecond
+	rememberPeriod   = 5 * time.Minute
 	// fetchTimeout limits one request for state, which may be a large configuration.
 	fetchTimeout = time.Second
 	// catchUpChoices is the number of instances that are asked at once, as long as none is known
@@ -109,6 +113,12 @@
 	return current
 }
 
+// UpToDate reports whether the followed prefixes are known to be up to date, or a watch of this instance
+// waits for changes of a store that responds.
+func (h *Hub) UpToDate(now time.Time) bool {
+	return h.Current(now) || h.mayRead(now, 1) && !h.Health.Unavailable() && now.Sub(h.Health.LastSuccess()) < storeTimeout
+}
+
 // fillGaps asks other instances for missing changes until ctx is done.
 func (h *Hub) fillGaps(ctx context.Context) {
 	for clock.Sleep(ctx, gapCheckInterval) {
@@ -139,6 +149,7 @@
 	source := ""
 	for clock.Sleep(ctx, interval) {
 		now := time.Now()
+		h.rememberPeers(now)
 		if !h.mustCatchUp(now) {
 			interval, source = minCatchUpInterval, ""
 			continue
@@ -159,11 +170,60 @@
 	return silent && (h.Health.Unavailable() || now.Sub(h.Health.LastSuccess()) >= storeTimeout)
 }
 
+// rememberPeers records the instances that are listed. An instance that gets no messages may have
+// learned last that the keys of all others had expired.
+func (h *Hub) rememberPeers(now time.Time) {
+	peers := h.Peers()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.rememberedAt) < rememberInterval {
+		return
+	}
+	h.rememberedAt = now
+	if h.remembered == nil {
+		h.remembered = make(map[string]rememberedPeer)
+	}
+	for _, p := range peers {
+		h.remembered[p.Name] = rememberedPeer{
+			peer: p,
+			at:   now,
+		}
+	}
+	for name, r := range h.remembered {
+		if now.Sub(r.at) > rememberPeriod {
+			delete(h.remembered, name)
+		}
+	}
+}
+
+// rememberedPeer is an instance that was listed at a time.
+type rememberedPeer struct {
+	peer Peer
+	at   time.Time
+}
+
+// formerAndPresentPeers returns the instances that are listed, and those that were.
+func (h *Hub) formerAndPresentPeers() []Peer {
+	peers := slices.Clone(h.Peers())
+	listed := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		listed[p.Name] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, r := range h.remembered {
+		if !listed[name] {
+			peers = append(peers, r.peer)
+		}
+	}
+	return peers
+}
+
 // catchUpPeers returns the instances to ask: the source, which has shown to be up to date, or some
 // at random if it is empty or gone.
 func (h *Hub) catchUpPeers(source string) []Peer {
 	var peers []Peer
-	for _, p := range h.Peers() {
+	for _, p := range h.formerAndPresentPeers() {
 		switch p.Name {
 		case h.Self:
 		case source:
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -126,6 +126,9 @@
 	// lastReader is the sender of the last message, for the log.
 	lastReader string
 	reading    bool
+	// remembered are instances that are or were listed, recorded at rememberedAt.
+	remembered   map[string]rememberedPeer
+	rememberedAt time.Time
 	// current is the last logged result of Current, and synced that of inSync.
 	current bool
 	synced  bool
--- a/watch/outdated_test.go
+++ b/watch/outdated_test.go
@@ -346,6 +346,30 @@
 	})
 }
 
+// Guards against an instance that knows no other any more, since the keys of all had expired when it
+// got its last message, and asks nobody.
+func TestInstanceAsksOthersThatWereListed(t *testing.T) {
+	playFleet(t, func(f *testFleet) {
+		i := f.instances[f.listener()]
+		i.kv.refuse("")
+		for _, name := range f.names {
+			if name != i.name {
+				f.write(memberPrefix+name, "")
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		f.write(memberPrefix+i.name, "")
+		time.Sleep(time.Second)
+		for _, name := range f.names {
+			if name != i.name {
+				f.write(memberPrefix+name, name)
+			}
+		}
+		f.write(valuePrefix+"route", "added")
+		f.requireValue("route", "added")
+	})
+}
+
 // Guards against instances that keep each other up to date while the store rejects all of them: what
 // they say is as old as what they have heard from the store.
 func TestInstancesCutOffTogetherAreNotCurrent(t *testing.T) {
