--- a/drill/draw.go
+++ b/drill/draw.go
@@ -61,6 +61,7 @@
 	d.drawFaults(rng)
 	d.drawRequests(rng, o)
 	d.drawCrashes(rng, o)
+	d.drawChanges(rand.New(rand.NewPCG(o.Seed, 0xc4a)))
 	d.sort()
 	return d
 }
--- a/drill/fault.go
+++ b/drill/fault.go
@@ -26,7 +26,7 @@
 var faultKinds []faultKind
 
 func init() {
-	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes())
+	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes(), operatorFaults())
 }
 
 func faultNamed(name string) (faultKind, bool) {
@@ -39,16 +39,28 @@
 	return faultKinds[i], true
 }
 
-// disturb records that an instance, or the store, is disturbed.
-func (p *player) disturb(f Fault, instance string, ends, planned bool) {
-	p.record(judge.Disturbed{
+// disturbance returns the record of a fault that disturbs an instance, or the store.
+func (p *player) disturbance(f Fault, instance string) judge.Disturbed {
+	return judge.Disturbed{
 		Time:     p.now(),
 		Until:    p.now().At() + f.For,
 		Instance: instance,
 		Cause:    f.Kind + " " + f.How,
-		Ends:     ends,
-		Planned:  planned,
-	})
+	}
+}
+
+// disturb records that an instance, or the store, is disturbed.
+func (p *player) disturb(f Fault, instance string, ends, planned bool) {
+	d := p.disturbance(f, instance)
+	d.Ends, d.Planned = ends, planned
+	p.record(d)
+}
+
+// disturbStretching records that the store serves others than the instance, or has no history.
+func (p *player) disturbStretching(f Fault, instance string) {
+	d := p.disturbance(f, instance)
+	d.Stretches = true
+	p.record(d)
 }
 
 // instance returns the machine of a fault.
@@ -223,17 +235,14 @@
 			name:   "configuration",
 			weight: 2,
 			play: func(p *player, _ Fault, _ *rand.Rand) {
-				p.writeConfig()
+				p.writeConfig(nil, nil)
 			},
 		},
 		{
 			name:   "key-withdrawn",
 			weight: 1,
 			play: func(p *player, _ Fault, _ *rand.Rand) {
-				p.mu.Lock()
-				p.keys = []string{alwaysKey}
-				p.mu.Unlock()
-				p.writeConfig("k2")
+				p.writeConfig(nil, []string{"k2"})
 			},
 		},
 		{
--- a/drill/play.go
+++ b/drill/play.go
@@ -7,6 +7,9 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -140,6 +143,9 @@
 		versions:    make(map[string]uint64),
 		storeFaults: make(map[int]storeFault),
 	}
+	for n := range maxAddedKeys {
+		p.organisations[addedKey(n)] = "org1"
+	}
 	for _, r := range d.Replies {
 		p.replies[r.Request] = append(p.replies[r.Request], r)
 		for _, m := range r.Mutations {
@@ -170,6 +176,8 @@
 		StableWindow:   3 * time.Second,
 		DrainTimeout:   2 * time.Second,
 		ApplyTimeout:   2 * time.Second,
+		MaxStretch:     5 * time.Second,
+		RollbackSlack:  250 * time.Millisecond,
 		Evacuation:     5 * time.Second,
 		LeaseTime:      leaseTime,
 		RetryRatio:     retryRatio,
@@ -243,7 +251,7 @@
 		return false
 	}
 	p.store = fake.StartStore(ln)
-	p.writeConfig()
+	p.writeConfig(nil, nil)
 	add := func(service string, count int, third byte) {
 		for i := range count {
 			pl := &place{
@@ -429,27 +437,29 @@
 	}
 }
 
-// writeConfig writes the next configuration.
-func (p *player) writeConfig(withdrawn ...string) {
+// writeConfig writes the next configuration, with keys added and withdrawn. A key that is there
+// already, or not there, is left as it is.
+func (p *player) writeConfig(added, withdrawn []string) {
 	p.mu.Lock()
+	added = slices.DeleteFunc(added, func(k string) bool { return slices.Contains(p.keys, k) })
+	withdrawn = slices.DeleteFunc(withdrawn, func(k string) bool { return !slices.Contains(p.keys, k) })
+	p.keys = append(slices.DeleteFunc(p.keys, func(k string) bool { return slices.Contains(withdrawn, k) }), added...)
 	p.version++
-	var quoted string
-	for i, k := range p.keys {
-		if i > 0 {
-			quoted += ","
-		}
-		quoted += fmt.Sprintf("%q", k)
+	quoted := make([]string, 0, len(p.keys))
+	for _, k := range p.keys {
+		quoted = append(quoted, strconv.Quote(k))
 	}
 	version := p.version
-	p.mu.Unlock()
 	p.store.Write(fake.ConfigKey, fake.Config(fake.ConfigOptions{
 		Version: version,
-		Keys:    quoted,
+		Keys:    strings.Join(quoted, ","),
 		Rate:    p.day.Rate,
 	}))
+	p.mu.Unlock()
 	p.record(judge.Configured{
 		Time:      p.now(),
 		Version:   version,
+		Added:     added,
 		Withdrawn: withdrawn,
 		Rates: map[string]judge.Rate{
 			"org1": {
--- a/drill/storefault.go
+++ b/drill/storefault.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -33,10 +32,9 @@
 			hows:   []string{"503", "429", "reset", "silent"},
 			play: func(p *player, f Fault, _ *rand.Rand) {
 				m := p.instance(f)
-				p.disturb(f, m.name, false, false)
+				p.disturbStretching(f, m.name)
 				p.storeAway(f, func(r *http.Request) bool {
-					addr, err := netip.ParseAddrPort(r.RemoteAddr)
-					return err == nil && addr.Addr() == m.addr
+					return p.isFrom(r, m)
 				})
 			},
 		},
@@ -66,7 +64,7 @@
 			name:   "store-forgets",
 			weight: 1,
 			play: func(p *player, f Fault, _ *rand.Rand) {
-				p.disturb(f, "", false, false)
+				p.disturbStretching(f, "")
 				p.store.Compact()
 			},
 		},
--- a/judge/fleet.go
+++ b/judge/fleet.go
@@ -90,29 +90,6 @@
 	return true
 }
 
-// decideWithdrawn: a key that was withdrawn is not accepted.
-func decideWithdrawn(x *index, v *Verdict) {
-	withdrawn := make(map[string]time.Duration)
-	for _, e := range x.Events {
-		if c, ok := e.(Configured); ok {
-			for _, key := range c.Withdrawn {
-				withdrawn[key] = c.At() + x.Bounds.ApplyTimeout
-			}
-		}
-	}
-	x.each(func(r *request) {
-		s := r.first()
-		at, ok := withdrawn[s.Key]
-		if !ok || s.At() < at || !x.isSound(s.Instance, at-x.Bounds.ApplyTimeout, s.At()) {
-			return
-		}
-		v.Exercised++
-		if len(r.runs) > 0 {
-			v.add(r.runs[0].At(), []string{r.id}, "%s ran with a key that was withdrawn", r.id)
-		}
-	})
-}
-
 // decideDrain: a target that leaves by the store gets no requests.
 func decideDrain(x *index, v *Verdict) {
 	for _, e := range x.Events {
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -217,14 +217,18 @@
 	Ends bool
 	// Planned is set for an orderly stop.
 	Planned bool
+	// Stretches is set for a disturbance of the store that stretches bounds and excuses nothing:
+	// it rejects the instance, or all its history is gone.
+	Stretches bool
 }
 
 // Configured is a configuration that the store has acknowledged.
 type Configured struct {
 	Time
 	Version int
-	// Withdrawn are the keys that are no longer valid.
+	// Withdrawn are the keys that are no longer valid, and Added those that have become so.
 	Withdrawn []string
+	Added     []string
 	// Rates are the organisations' limits in tokens a second and their bursts.
 	Rates map[string]Rate
 }
@@ -268,8 +272,12 @@
 	StableWindow time.Duration
 	DrainTimeout time.Duration
 	ApplyTimeout time.Duration
-	Evacuation   time.Duration
-	LeaseTime    time.Duration
+	// MaxStretch is added to ApplyTimeout while the store serves some instances only, and
+	// RollbackSlack is how long after a change its effect may come and go in one process.
+	MaxStretch    time.Duration
+	RollbackSlack time.Duration
+	Evacuation    time.Duration
+	LeaseTime     time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the repeats of all instances.
 	RetryRatio  float64
 	RetryWindow time.Duration
--- a/judge/judge_test.go
+++ b/judge/judge_test.go
@@ -16,6 +16,8 @@
 	StableWindow:   3 * time.Second,
 	DrainTimeout:   2 * time.Second,
 	ApplyTimeout:   2 * time.Second,
+	MaxStretch:     5 * time.Second,
+	RollbackSlack:  250 * time.Millisecond,
 	Evacuation:     5 * time.Second,
 	LeaseTime:      3 * time.Second,
 	RetryRatio:     0.2,
@@ -103,6 +105,44 @@
 	}
 }
 
+// keyAdded returns an added key, and a request with it that gets a status.
+func keyAdded(addedAt, ms, status int) []judge.Event {
+	s := sent(ms, "r", judge.Safe)
+	s.Key = "n0"
+	return []judge.Event{
+		judge.Configured{
+			Time:  at(addedAt),
+			Added: []string{"n0"},
+		},
+		s,
+		answered(ms+1, "r", status, ""),
+	}
+}
+
+// acceptedKey returns a request with an added key that is answered.
+func acceptedKey(ms int) []judge.Event {
+	return change(served(ms, "first", judge.Safe), func(s *judge.Sent) {
+		s.Key = "n0"
+	})
+}
+
+// refusedByStore returns a time in which the store rejects an instance but not all others.
+func refusedByStore(from, until int) judge.Event {
+	return judge.Disturbed{
+		Time:      at(from),
+		Until:     time.Duration(until) * time.Millisecond,
+		Instance:  "entry-0",
+		Stretches: true,
+	}
+}
+
+// fromOther returns a request at an instance that nothing disturbs.
+func fromOther(ms int) judge.Event {
+	s := sent(ms, "other", judge.Safe)
+	s.Instance = "entry-1"
+	return s
+}
+
 // served returns a request that is served as it should be.
 func served(ms int, id string, kind judge.Kind) []judge.Event {
 	return []judge.Event{
@@ -431,6 +471,30 @@
 				Withdrawn: []string{"k2"},
 			}),
 		},
+		{
+			rule:   "in-force",
+			name:   "denied by an old configuration",
+			broken: keyAdded(1000, 3100, 401),
+			kept:   keyAdded(1000, 2900, 401),
+		},
+		{
+			rule:   "in-force",
+			name:   "route of an old configuration",
+			broken: keyAdded(1000, 3100, 404),
+			kept:   keyAdded(1000, 3100, 503),
+		},
+		{
+			rule:   "in-force",
+			name:   "while the store rejects the instance",
+			broken: append(keyAdded(4000, 11100, 401), refusedByStore(3000, 12000), fromOther(4100)),
+			kept:   append(keyAdded(4000, 10900, 401), refusedByStore(3000, 12000), fromOther(4100)),
+		},
+		{
+			rule:   "in-force",
+			name:   "older again",
+			broken: append(keyAdded(1000, 1800, 401), acceptedKey(1200)...),
+			kept:   append(keyAdded(1000, 1400, 401), acceptedKey(1200)...),
+		},
 		{
 			rule: "drain",
 			name: "late request",
--- a/judge/rules.go
+++ b/judge/rules.go
@@ -104,6 +104,10 @@
 		name:   "route",
 		decide: decideRoute,
 	},
+	{
+		name:   "in-force",
+		decide: decideInForce,
+	},
 	{
 		name:   "withdrawn",
 		decide: decideWithdrawn,
