--- a/watch/gap_test.go
+++ b/watch/gap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,67 @@
 	p.receiveAll(append(p.queuedUpdates(), positionOfView(t, p.reader)))
 	require.Equal(t, map[string]string{"a/0": "x", "a/1": "y"}, p.values)
 }
+
+// Guards against changes that are lost at a limit: of the updates that are queued or held back, or of
+// the deletions that are kept. One request brings the listener up to date each time.
+func TestLimitsLoseNoChange(t *testing.T) {
+	put := func(t *testing.T, p *followerPair, key string) store.Revision {
+		rev, err := p.kv.Put(context.Background(), store.Write{
+			Key:   key,
+			Value: []byte("x"),
+		})
+		require.NoError(t, err)
+		return rev
+	}
+	tests := []struct {
+		name string
+		play func(t *testing.T, p *followerPair)
+	}{
+		{
+			name: "queue of updates",
+			play: func(t *testing.T, p *followerPair) {
+				for n := range 2 * cap(p.hub.queue) {
+					p.putAndWatch(t, fmt.Sprint("a/", n), "x")
+				}
+			},
+		},
+		{
+			name: "updates held back",
+			play: func(t *testing.T, p *followerPair) {
+				p.putAndWatch(t, "a/first", "x")
+				p.queuedUpdates()
+				for n := range 2 * maxHeldUpdates {
+					p.putAndWatch(t, fmt.Sprint("a/", n), "x")
+					for _, update := range p.queuedUpdates() {
+						require.False(t, p.listener.receive(testStart, update, "reader"))
+					}
+				}
+				require.Len(t, p.listener.view.held, maxHeldUpdates)
+			},
+		},
+		{
+			name: "deletions",
+			play: func(t *testing.T, p *followerPair) {
+				for n := range maxDeletions + 10 {
+					rev := put(t, p, fmt.Sprint("a/", n))
+					if n == 0 {
+						require.NoError(t, p.listener.watch(context.Background()))
+					}
+					require.NoError(t, p.kv.Delete(context.Background(), fmt.Sprint("a/", n), rev))
+				}
+				require.NoError(t, p.reader.watch(context.Background()))
+				p.queuedUpdates()
+				require.LessOrEqual(t, len(p.reader.view.deletions), maxDeletions)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newFollowerPair(t)
+			tt.play(t, p)
+			p.receiveAll(append(p.queuedUpdates(), positionOfView(t, p.reader)))
+			require.Len(t, p.values, len(p.reader.view.entries))
+			require.False(t, p.listener.needsStore(testStart.Add(maxGapTime)))
+		})
+	}
+}
