--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -57,7 +57,7 @@
 // checkDrain refuses a request that has not been sent if the instance ends before its answer is
 // expected. Whether that is so is decided again before each attempt, since requests wait.
 func (x *Exchange) checkDrain(now time.Time) *Refusal {
-	if endsInTime(now, x.gate.endsAt(), x.Route, x.Request.OutputTokens) {
+	if x.maybeExecuted || x.headSent || endsInTime(now, x.gate.endsAt(), x.Route, x.Request.OutputTokens) {
 		return nil
 	}
 	return &Refusal{
