Copies of a suspected request take turns

Cause: when the hold of two seconds after the second end is over, each instance sends each copy that comes: five within 0.33 s to one target, before its end was known. Change: an instance sends one copy each two seconds, and the instances begin 0.3 s apart; asking again keeps the turn.

--- a/node/screen.go
+++ b/node/screen.go
@@ -14,8 +14,10 @@
 	"currantstile/clock"
 	"currantstile/elect"
 	"currantstile/errs"
+	"currantstile/fleet"
 	"currantstile/poison"
 	"currantstile/proxy"
+	"currantstile/route"
 	"currantstile/store"
 	"currantstile/watch"
 	"currantstile/wire"
@@ -49,6 +51,7 @@
 type screen struct {
 	node   *Node
 	ledger *poison.Ledger
+	turns  poison.Turns
 	// writes are the pending writes; each is repeated until it reports that it is done.
 	writes chan func(context.Context) bool
 	// decidedAt is when all instances were last asked. Only run uses it.
@@ -94,11 +97,36 @@
 			Feature:    d.Feature,
 			RetryAfter: claimRetryAfter,
 		}
+	case poison.Suspected:
+		if wait := s.turns.Take(now, id, d, s.rank(d.Feature)); wait > 0 {
+			return poison.Blocked{
+				Feature:    d.Feature,
+				RetryAfter: wait,
+			}
+		}
+		return d
 	default:
 		return d
 	}
 }
 
+// rank returns this instance's place in the order in which the instances send copies of a
+// suspected request.
+func (s *screen) rank(f poison.Feature) int {
+	first := route.TopBy(string(f), s.node.registry.View().Instances(), func(i *fleet.Instance) string {
+		return i.Name
+	}, poison.MaxTurnRank, func(*fleet.Instance) bool {
+		return true
+	})
+	rank := slices.IndexFunc(first, func(i fleet.Instance) bool {
+		return i.Name == s.node.Settings.Name
+	})
+	if rank < 0 {
+		return poison.MaxTurnRank
+	}
+	return rank
+}
+
 // claimTrial claims the trial of a feature for a request, so that no other request is sent
 // for it. It reports whether it succeeded.
 func (s *screen) claimTrial(ctx context.Context, id string, f poison.Feature) bool {
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -97,6 +97,7 @@
 			if _, allowed := due.(Allowed); allowed && suspected {
 				due = Suspected{
 					Feature: f,
+					Since:   -wait,
 				}
 			}
 			continue
@@ -115,7 +116,7 @@
 }
 
 // held returns how long a request is held back that is not blocked, but under which targets
-// have just ended; zero if it is not. suspected is set if targets have ended under it since it was
+// have just ended; it is negative once that time is over. suspected is set if targets have ended under it since it was
 // last answered.
 func (l *Ledger) held(now time.Time, f Feature) (wait time.Duration, suspected bool) {
 	e, ok := l.evidence[f]
@@ -129,7 +130,7 @@
 	if ends < holdTargets {
 		return 0, false
 	}
-	return max(holdTime-now.Sub(e.lastEnd), 0), true
+	return holdTime - now.Sub(e.lastEnd), true
 }
 
 // endsAfter counts the targets that ended after a time.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -216,6 +216,8 @@
 // not repeated if another one ends.
 type Suspected struct {
 	Feature Feature
+	// Since is how long ago such a request was no longer held back.
+	Since time.Duration
 }
 
 func (Allowed) isDecision()   {}
