--- a/review/rig/clients_test.go
+++ b/review/rig/clients_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,10 @@
 	key    string
 	body   []byte
 	every  time.Duration
+	// wait is how long a client waits; 0 means clientDeadline.
+	wait time.Duration
+	// group tells the IDs of several loads of one node apart.
+	group string
 
 	mu     sync.Mutex
 	next   int
@@ -62,6 +67,21 @@
 	}
 }
 
+// more returns a load of further clients that send the same requests.
+func (l *load) more(every time.Duration) *load {
+	return &load{
+		rig:    l.rig,
+		node:   l.node,
+		method: l.method,
+		path:   l.path,
+		key:    l.key,
+		body:   l.body,
+		every:  every,
+		wait:   l.wait,
+		group:  fmt.Sprintf("-more-%d", time.Since(l.rig.started).Milliseconds()),
+	}
+}
+
 // clientDeadline is how long a client waits.
 const clientDeadline = 4 * time.Second
 
@@ -70,12 +90,13 @@
 	l.mu.Lock()
 	l.next++
 	s := sent{
-		id:   fmt.Sprintf("%s-%06d", l.node.name, l.next),
+		id:   fmt.Sprintf("%s%s-%06d", l.node.name, l.group, l.next),
 		node: l.node.name,
 		at:   time.Now(),
 	}
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
+	wait := cmp.Or(l.wait, clientDeadline)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, l.method, "http://"+l.node.callers+l.path, bytes.NewReader(l.body))
 	if err != nil {
@@ -83,7 +104,7 @@
 	}
 	req.Host = "a.example"
 	req.Header.Set("X-Request-Id", s.id)
-	req.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(clientDeadline.Milliseconds()))
+	req.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(wait.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+l.key)
 	l.rig.noteAt(s.at, "sent %s to %s", s.id, s.node)
 	resp, err := l.client.Do(req)
--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -28,6 +28,7 @@
 // disruption out.
 var cases = map[string]func(r *rig, trouble bool) (held bool, err error){
 	"scale-out": runScaleOut,
+	"bodies":    runBodies,
 }
 
 func TestMain(*testing.M) {
--- a/review/rig/platform_test.go
+++ b/review/rig/platform_test.go
@@ -299,8 +299,13 @@
 	name    string
 	callers string
 	ready   string
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	// settings is the path of the settings file, and logFile gets what the process writes.
+	settings string
+	program  string
+	logFile  *os.File
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
 	// inRotation is set while the platform sends new connections to the node.
 	inRotation atomic.Bool
 }
@@ -327,51 +332,78 @@
 	memoryMB int
 }
 
-// startNode starts a process with the command of the deploy file.
+// startNode starts a node.
 func (r *rig) startNode(o nodeOptions) (*node, error) {
 	ports, err := freePorts(o.ip, 4)
 	if err != nil {
 		return nil, err
 	}
 	n := &node{
-		name:    o.name,
-		callers: fmt.Sprintf("%s:%d", o.ip, ports[0]),
-		ready:   fmt.Sprintf("%s:%d", o.ip, ports[1]),
-		exited:  make(chan struct{}),
+		name:     o.name,
+		callers:  fmt.Sprintf("%s:%d", o.ip, ports[0]),
+		ready:    fmt.Sprintf("%s:%d", o.ip, ports[1]),
+		settings: filepath.Join(r.dir, o.name+".yaml"),
+		program:  r.program,
 	}
 	// The internal ports are a range, of which only the ends are used.
 	first, last := min(ports[2], ports[3]), max(ports[2], ports[3])
-	settings := filepath.Join(r.dir, o.name+".yaml")
 	text := fmt.Sprintf(settingsFile, o.name, o.ip, n.callers, n.ready, first, last, o.memoryMB, o.store)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	n.cmd = exec.Command(r.program, "node")
-	n.cmd.Env = []string{"CURRANTSTILE_CONFIG=" + settings, "PATH=" + os.Getenv("PATH")}
-	logFile, err := os.Create(filepath.Join(r.dir, o.name+".log"))
+	n.logFile, err = os.Create(filepath.Join(r.dir, o.name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
-	if err := n.cmd.Start(); err != nil {
+	if err := n.start(); err != nil {
 		return nil, err
 	}
 	r.note("node %s started", n.name)
-	go func() {
-		_ = n.cmd.Wait()
-		close(n.exited)
-	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.askReady(ctx, n)
 	r.atEnd(func() {
 		cancel()
-		_ = n.cmd.Process.Kill()
-		<-n.exited
-		_ = logFile.Close()
+		n.kill()
+		_ = n.logFile.Close()
 	})
 	return n, nil
 }
 
+// start starts the process of a node with the command of the deploy file.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cmd := exec.Command(n.program, "node")
+	cmd.Env = []string{"CURRANTSTILE_CONFIG=" + n.settings, "PATH=" + os.Getenv("PATH")}
+	cmd.Stdout, cmd.Stderr = n.logFile, n.logFile
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	n.cmd, n.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// kill ends the process of a node and waits for its end.
+func (n *node) kill() {
+	n.mu.Lock()
+	cmd, exited := n.cmd, n.exited
+	n.mu.Unlock()
+	_ = cmd.Process.Kill()
+	<-exited
+}
+
+// pid returns the ID of the process of a node.
+func (n *node) pid() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.Process.Pid
+}
+
 // askReady asks a node once a second whether it is ready, as the platform does.
 func (r *rig) askReady(ctx context.Context, n *node) {
 	client := &http.Client{
