--- a/review/rig/platform_test.go
+++ b/review/rig/platform_test.go
@@ -99,6 +99,7 @@
 
 	mu     sync.Mutex
 	silent bool
+	keep   bool
 	conns  map[net.Conn]bool
 }
 
@@ -182,7 +183,7 @@
 	p.mu.Lock()
 	p.silent = silent
 	p.mu.Unlock()
-	if !silent {
+	if !silent && !p.keep {
 		p.closeConns()
 	}
 }
