--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(r *rig, trouble bool) (held bool, err error){
 	"scale-out": runScaleOut,
 	"bodies":    runBodies,
+	"forget":    runForget,
 }
 
 func TestMain(*testing.M) {
--- a/review/rig/platform_test.go
+++ b/review/rig/platform_test.go
@@ -213,8 +213,12 @@
 	id   string
 	work time.Duration
 
+	// end ends the worker as a crash does.
+	end func()
+
 	mu       sync.Mutex
 	arrivals []arrival
+	deadly   *deadly
 }
 
 // startWorker starts a worker of the service app that takes some time for each request, and registers it.
@@ -235,14 +239,22 @@
 		_ = srv.Serve(ln)
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
-	go w.beat(ctx, ln.Addr().String())
-	r.atEnd(func() {
+	w.end = func() {
 		cancel()
 		_ = srv.Close()
-	})
+	}
+	go w.beat(ctx, ln.Addr().String())
+	r.atEnd(w.end)
 	return w, nil
 }
 
+// setDeadly lets requests with deadlyBody crash the worker.
+func (w *worker) setDeadly(d *deadly) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deadly = d
+}
+
 // beat writes the worker's entry until ctx ends.
 func (w *worker) beat(ctx context.Context, addr string) {
 	born := time.Now().UnixMilli()
@@ -266,7 +278,8 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	a := arrival{
@@ -277,8 +290,13 @@
 	}
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, a)
+	d := w.deadly
 	w.mu.Unlock()
 	w.rig.noteAt(a.at, "run %s at %s for %s", id, w.id, a.tenant)
+	if d != nil && string(body) == deadlyBody {
+		d.crash(w, id)
+		return
+	}
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
