--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/currantstile ] && [ -x target/review-rig ] || exit 2
-exec target/review-rig bodies "$folder"
+exec target/review-rig scale-out "$folder"
