Logs tell how a request lost its connection, and the last lines are written

Change: logio.Writer copies lines into a bounded buffer, counts what it drops and is flushed at the end; the request line has the caller's address and what ended its context; lines for closed idle connections, panics and requests aborted at the end of the grace period. Result: go test -race ./logio ./proxy passes; nothing is decided differently.

--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 
+	"currantstile/logio"
 	"currantstile/model"
 	"currantstile/node"
 	"currantstile/origin"
@@ -41,6 +42,8 @@
 	// logBufferLines is how many log lines are buffered while the reader of standard output
 	// is slow; further lines are dropped.
 	logBufferLines = 4096
+	// flushTimeout bounds how long the end of the process waits for the reader of its log.
+	flushTimeout = 200 * time.Millisecond
 	// storeDialTimeout bounds the opening of a connection to the store, and storeIdleConns
 	// is how many idle connections are kept.
 	storeDialTimeout = 500 * time.Millisecond
@@ -73,14 +76,15 @@
 			message: "invalid settings file " + path + ":\n" + strings.ReplaceAll(err.Error(), "; ", "\n"),
 		}
 	}
+	lines := &logio.Writer{
+		Out:   os.Stdout,
+		Lines: logBufferLines,
+	}
+	defer lines.Flush(flushTimeout)
 	logger := log.Logger{
 		Level: log.ParseLevel(level),
-		Writer: &log.AsyncWriter{
-			ChannelSize:   logBufferLines,
-			DiscardOnFull: true,
-			Writer: &log.IOWriter{
-				Writer: os.Stdout,
-			},
+		Writer: &log.IOWriter{
+			Writer: lines,
 		},
 	}
 	n := newNode(s, nil, logger)
@@ -88,6 +92,7 @@
 		return err
 	}
 	awaitStop(ctx, path, logger)
+	logger.Info().Msg("node: told to stop")
 	n.Stop()
 	return nil
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -48,7 +50,11 @@
 	w     http.ResponseWriter
 	// protocol is the caller's version of HTTP.
 	protocol string
-	start    time.Time
+	// caller is the address of the caller's end of the connection.
+	caller string
+	start  time.Time
+	// endedBy is what ended the context of the request before its answer; empty if nothing did.
+	endedBy string
 	// budgetCounted is set once the request has been counted in the retry budget of
 	// its service.
 	budgetCounted bool
@@ -265,6 +271,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// logPanic logs a panic of the handler with its stack; the connection is closed without an answer.
+func (x *Exchange) logPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		x.Reason = "panic"
+		x.gate.Log.Error().Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+	}
+	panic(v)
+}
+
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
 	elapsed := time.Since(x.start)
@@ -288,7 +307,7 @@
 		line.Uint64("configuration", x.cfg.Version)
 	}
 	line.Str("target", x.Target).Int("sent", x.Attempts).Int("status", x.Status).Str("reason", x.Reason).
-		Str("framing", x.Framing.String()).Int("events", x.events.AllEvents()).Str("protocol", x.protocol).
+		Str("framing", x.Framing.String()).Int("events", x.events.AllEvents()).Str("protocol", x.protocol).Str("caller", x.caller).Str("ended-by", x.endedBy).
 		Str("waits", x.waits.String()).Dur("waited", x.Waited).Dur("first", x.FirstByte).Dur("pause", x.MaxPause).Dur("took", elapsed).Msg("gate: request")
 	if x.gate.ObserveRequest != nil {
 		route, org := "", ""
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -28,15 +28,18 @@
 	delete(i.idleSince, c)
 }
 
-// closeIdleSince closes the connections that became idle before t.
-func (i *idleConns) closeIdleSince(t time.Time) {
+// closeIdleSince closes the connections that became idle before t and returns their addresses.
+func (i *idleConns) closeIdleSince(t time.Time) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	var closed []string
 	for c, since := range i.idleSince {
 		if since.Before(t) {
+			closed = append(closed, c.RemoteAddr().String())
 			// The error is ignored: the caller opens a new connection.
 			_ = c.Close()
 			delete(i.idleSince, c)
 		}
 	}
+	return closed
 }
