A SIGHUP does not end an instance that stops

Callers saw connections closed without an answer when a SIGHUP came during a planned stop. Cause: awaitStop dropped its handler when SIGTERM arrived, which restored SIGHUP's default action; serve had no handler at all. From then on a SIGHUP ended the process with all answers that it owed. Change: SIGHUP is caught from the first statement of node and serve until the process ends. The page of serve said that a second signal ends the process at once, which it does not.

--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -51,6 +49,7 @@
 )
 
 func runNode(ctx context.Context, args []string, _, _ io.Writer) error {
+	hangups := catchHangups()
 	path, level := "", ""
 	fs := newFlags("node")
 	fs.StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
@@ -87,11 +86,12 @@
 			Writer: lines,
 		},
 	}
+	go checkSettings(hangups, path, logger)
 	n := newNode(s, nil, logger)
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	awaitStop(ctx, path, logger)
+	<-ctx.Done()
 	logger.Info().Msg("node: told to stop")
 	n.Stop()
 	return nil
@@ -119,19 +119,11 @@
 	}
 }
 
-// awaitStop blocks until ctx is done. At each SIGHUP it reads the settings file and logs its
-// errors; the settings in use do not change.
-func awaitStop(ctx context.Context, path string, logger log.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-hup:
-			_, err := platform.ReadSettings(path)
-			logger.Info().Err(err).Msg("node: settings file checked after SIGHUP")
-		case <-ctx.Done():
-			return
-		}
+// checkSettings reads the settings file at each signal and logs its errors; the settings in use do
+// not change.
+func checkSettings(hangups <-chan os.Signal, path string, logger log.Logger) {
+	for range hangups {
+		_, err := platform.ReadSettings(path)
+		logger.Info().Err(err).Msg("node: settings file checked after SIGHUP")
 	}
 }
--- a/cmd/currantstile/serve.go
+++ b/cmd/currantstile/serve.go
@@ -12,8 +12,8 @@
 currantstile serve -id NAME -data-centre NAME -callers ADDR -operators ADDR -peers ADDR -store ADDR -members ADDR
 
 Runs one instance until SIGINT or SIGTERM, then shuts down gracefully: new
-requests are refused, running ones may go on for up to -shutdown-timeout. A second
-signal ends the process at once.
+requests are refused, running ones may go on for up to -shutdown-timeout. Further
+signals do not end it sooner; SIGHUP is logged and has no effect.
 
 Flags:
   -id NAME                 name of this instance
@@ -47,6 +47,7 @@
 `
 
 func runServe(ctx context.Context, args []string, _, _ io.Writer) error {
+	hangups := catchHangups()
 	var s daemon.Settings
 	var logs logFlags
 	fs := newFlags("serve")
@@ -77,9 +78,15 @@
 	if err := fieldErrs.Err(); err != nil {
 		return settingsUsageError("serve", err)
 	}
+	logger := logs.logger()
+	go func() {
+		for range hangups {
+			logger.Info().Msg("entry: SIGHUP has no effect; settings change at a restart")
+		}
+	}()
 	in := &daemon.Instance{
 		Settings: s,
-		Log:      logs.logger(),
+		Log:      logger,
 	}
 	if err := in.Start(ctx); err != nil {
 		return err
