An instance does not end with the reader of its log

Callers would have seen connections closed without an answer when whatever reads standard output ended. Cause: a write to a broken pipe on standard output ends a Go process by SIGPIPE, unless it is ignored.

--- a/cmd/currantstile/signals.go
+++ b/cmd/currantstile/signals.go
@@ -6,6 +6,12 @@
 	"syscall"
 )
 
+// keepWithoutReader lets writes to a standard output that nobody reads fail instead of ending the
+// process.
+func keepWithoutReader() {
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // catchHangups returns a channel that receives each SIGHUP until the process ends. A process that
 // stops still owes answers, so the default action, which ends it at once, is never restored.
 func catchHangups() <-chan os.Signal {
