A connection is not closed as idle under a request

Callers saw a kept connection closed without an answer although their request had reached a target. Cause: net/http calls a connection idle until the head of the next request is parsed. Change: callerConn excludes closing a connection and beginning a request on it: a request on a closed connection is not handled, and a connection of which a byte of a request was received is not idle.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -107,9 +107,12 @@
 
 	server    *http.Server
 	boundAddr netip.AddrPort
-	idle      idleConns
-	crashes   crashDetector
-	draining  atomic.Bool
+	callers   callerConns
+	// listener is the listener for callers; served is closed once it accepts no more.
+	listener net.Listener
+	served   chan struct{}
+	crashes  crashDetector
+	draining atomic.Bool
 	// drainUntil is until when requests are answered, once the instance is to end, and ending is
 	// cancelled then.
 	drainUntil atomic.Pointer[time.Time]
@@ -123,6 +126,9 @@
 const (
 	// sweepInterval is the interval between checks for expired idle connections.
 	sweepInterval = time.Second
+	// firstRequestTimeout is how long a new connection waits for its first request when the instance
+	// stops.
+	firstRequestTimeout = time.Second
 	// maxHeaderBytes is the upper limit on the size of a request's head,
 	// independent of the configuration. It also applies before a configuration
 	// is loaded.
@@ -149,11 +155,15 @@
 		Handler:           g,
 		ReadHeaderTimeout: config.DefaultHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.idle.setState,
+		ConnState:         g.callers.setState,
+		ConnContext:       connContext,
 		ErrorLog:          g.Log.Std("gate: ", 0),
 	}
+	g.listener = g.callers.listen(ln)
+	g.served = make(chan struct{})
 	go func() {
-		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		defer close(g.served)
+		if err := g.server.Serve(g.listener); !errors.Is(err, net.ErrClosed) {
 			g.Log.Error().Err(err).Msg("gate: listener failed")
 		}
 	}()
@@ -176,7 +186,11 @@
 			if c := g.Config(); c != nil {
 				timeout = c.Limits.IdleTimeout
 			}
-			if closed := g.idle.closeIdleSince(now.Add(-timeout)); len(closed) > 0 {
+			limits := waitLimits{
+				idle:      timeout,
+				receiving: max(timeout, config.DefaultHeaderTimeout),
+			}
+			if closed := g.callers.closeUnowed(now, limits); len(closed) > 0 {
 				g.Log.Info().Strs("callers", closed).Dur("limit", timeout).Msg("gate: idle connections closed")
 			}
 			g.Conns.CloseExpired(now)
@@ -191,21 +205,38 @@
 	return g.running.Load()
 }
 
-// Stop closes the listener and idle connections, and waits for running requests until the given
-// time. Requests still running then are ended with an answer if there is none yet, and an error is
-// returned if that takes too long.
+// errRequestsAborted is returned by Stop if connections were closed on which answers were owed.
+var errRequestsAborted = errors.New("requests were aborted")
+
+// Stop closes the listener and each connection on which no answer is owed, and waits for running
+// requests until the given time. Requests still running then are ended with an answer if there is none
+// yet, and an error is returned if that takes too long. http.Server.Shutdown is not used: it polls for
+// connections that have become idle, up to half a second late, and decides by another state than
+// callerConn whether one is idle.
 func (g *Gate) Stop(until time.Time) error {
 	g.Drain(until)
 	atEnd := time.AfterFunc(time.Until(until), g.end)
 	defer atEnd.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), until.Add(lastAnswerTime))
 	defer cancel()
-	err := g.server.Shutdown(ctx)
-	if err != nil {
-		g.logOpen()
-		// Aborts the requests that did not finish in time.
-		_ = g.server.Close()
+	// The listener can only have been closed before.
+	_ = g.listener.Close()
+	<-g.served
+	var err error
+	limits := waitLimits{
+		unused:    firstRequestTimeout,
+		receiving: config.DefaultHeaderTimeout,
+	}
+	if !g.callers.closeAll(ctx, limits) {
+		counts := g.callers.countByState()
+		g.Log.Warn().Any("connections", counts).Msg("gate: connections are open at the end of the grace period")
+		if counts[callerServing.String()] > 0 {
+			err = errRequestsAborted
+			g.logOpen()
+		}
 	}
+	// Aborts the requests that did not finish in time.
+	_ = g.server.Close()
 	g.end()
 	return errs.WithPeer(err, "Gate.Stop", g.boundAddr)
 }
@@ -221,9 +252,13 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && !c.begin(now) {
+		g.Log.Info().Str("caller", r.RemoteAddr).Msg("gate: connection was closed as idle before its request was read")
+		panic(http.ErrAbortHandler)
+	}
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	now := time.Now()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
