A panicking handler answers its request

Callers would have seen their connection closed without an answer. Cause: net/http recovers a panic of a handler, logs it to standard error and closes the connection; the request may have been sent by then. Change: the panic is logged with its stack and answered with 502, which promises nothing; a response that has begun is aborted as before.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -53,6 +53,8 @@
 	// caller is the address of the caller's end of the connection.
 	caller string
 	start  time.Time
+	// statusWritten is set once the head of the answer was written.
+	statusWritten bool
 	// endedBy is what ended the context of the request before its answer; empty if nothing did.
 	endedBy string
 	// budgetCounted is set once the request has been counted in the retry budget of
@@ -250,7 +252,13 @@
 	h := x.w.Header()
 	x.gate.Codec.SetRefusalHeader(h, x.Request, r.RetryAfter)
 	h.Set("Content-Length", "0")
-	x.w.WriteHeader(r.Status)
+	x.writeStatus(r.Status)
+}
+
+// writeStatus writes the status and the header of the answer.
+func (x *Exchange) writeStatus(status int) {
+	x.statusWritten = true
+	x.w.WriteHeader(status)
 }
 
 // writeBuffered writes a buffered response to the caller.
@@ -259,7 +267,7 @@
 	h := x.w.Header()
 	copyHeader(h, resp.header)
 	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
-	x.w.WriteHeader(resp.status)
+	x.writeStatus(resp.status)
 	// A write error means that the caller has disconnected; nothing is left to do.
 	_, _ = x.w.Write(resp.body)
 }
@@ -271,17 +279,25 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logPanic logs a panic of the handler with its stack; the connection is closed without an answer.
-func (x *Exchange) logPanic() {
+// recoverPanic answers a request whose handler panicked, or aborts its connection if the answer has begun.
+// A target may have executed the request, so nothing is promised.
+func (x *Exchange) recoverPanic() {
 	v := recover()
 	if v == nil {
 		return
 	}
-	if v != http.ErrAbortHandler {
-		x.Reason = "panic"
-		x.gate.Log.Error().Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+	if v == http.ErrAbortHandler {
+		panic(v)
 	}
-	panic(v)
+	x.gate.Log.Error().Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+	x.Reason = "panic"
+	if x.statusWritten {
+		x.abort()
+	}
+	x.refuse(Refusal{
+		Status: http.StatusBadGateway,
+		Reason: "panic",
+	})
 }
 
 // finish logs the request and reports it to Gate.ObserveRequest.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -272,7 +272,6 @@
 	g.open.Store(x, struct{}{})
 	defer g.open.Delete(x)
 	defer x.finish()
-	defer x.logPanic()
 	if !r.ProtoAtLeast(1, 1) {
 		b := &bufferedWriter{
 			ResponseWriter: w,
@@ -288,6 +287,7 @@
 // process answers the request. It panics with http.ErrAbortHandler to abort a response that
 // has begun.
 func (x *Exchange) process(now time.Time, r *http.Request) {
+	defer x.recoverPanic()
 	g := x.gate
 	if refusal := g.prepare(now, x, r); refusal != nil {
 		x.refuse(*refusal)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -302,5 +302,5 @@
 	x.headSent, x.streamHead = true, stream.HeadOf(resp.Response)
 	x.Status = resp.StatusCode
 	copyHeader(x.w.Header(), resp.Header)
-	x.w.WriteHeader(resp.StatusCode)
+	x.writeStatus(resp.StatusCode)
 }
