Answers of a stopping instance close their connections, also those in progress

Callers' next requests met the close of their idle connection 2.3 s after SIGTERM, as the answer before had not announced it. Cause: the header was set when a request began; one that ran at SIGTERM was answered without it. Result: TestAnswerOfAStoppingInstanceClosesItsConnection failed before and passes.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -255,8 +255,12 @@
 	x.writeStatus(r.Status)
 }
 
-// writeStatus writes the status and the header of the answer.
+// writeStatus writes the status and the header of the answer. The answers of an instance that stops close
+// their connections, also if the instance was told to stop while they were made.
 func (x *Exchange) writeStatus(status int) {
+	if x.gate.draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
 	x.statusWritten = true
 	x.w.WriteHeader(status)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -259,9 +259,6 @@
 	}
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &Exchange{
 		gate:     g,
 		w:        w,
