The product's own server does not handle a request on a connection that it closed

Cause: a stop closes connections that were idle when it began; one whose next request was being read was closed, and the request handled all the same. Change: closing a connection and marking it busy exclude one another; a request on a closed connection is aborted before its handler.

--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -22,6 +22,8 @@
 	conn network.Conn
 	mu   sync.Mutex
 	busy bool
+	// closed is set once the connection was closed as idle.
+	closed bool
 	// lastChange is the time at which the connection last became busy or idle.
 	lastChange time.Time
 }
@@ -50,27 +52,39 @@
 }
 
 // trackBusy is middleware that marks a request's connection as busy while the
-// request is handled.
+// request is handled. A request whose connection was closed while it was being read is
+// not handled, as its answer could not be returned.
 func trackBusy(ctx context.Context, c *app.RequestContext) {
 	if t, ok := ctx.Value(trackedConnKey{}).(*trackedConn); ok {
-		t.setBusy(true)
+		if !t.setBusy(true) {
+			c.SetConnectionClose()
+			c.Abort()
+			return
+		}
 		defer t.setBusy(false)
 	}
 	c.Next(ctx)
 }
 
-func (t *trackedConn) setBusy(busy bool) {
+// setBusy reports false if the connection was closed.
+func (t *trackedConn) setBusy(busy bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.busy = busy
 	t.lastChange = time.Now()
+	return !t.closed
 }
 
-// idleSince reports whether the connection has been idle from the given time until now.
-func (t *trackedConn) idleSince(at time.Time) bool {
+// closeIfIdleSince closes the connection if it has been idle from the given time until now.
+func (t *trackedConn) closeIfIdleSince(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.busy && !t.lastChange.After(at)
+	if t.busy || t.lastChange.After(at) {
+		return
+	}
+	t.closed = true
+	// The connection is idle, so an error because it is already closed can be ignored.
+	_ = t.conn.Close()
 }
 
 // closeIdleSince returns a function that closes the connections that have been idle
@@ -80,11 +94,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for t := range s.conns {
-			if t.idleSince(at) {
-				// The connection is idle, so an error because it is already
-				// closed can be ignored.
-				_ = t.conn.Close()
-			}
+			t.closeIfIdleSince(at)
 		}
 	}
 }
