--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -293,7 +293,11 @@
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
-	x.gate.Log.Error().Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+	id := ""
+	if x.Request != nil {
+		id = x.Request.ID
+	}
+	x.gate.Log.Error().Str("request", id).Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
 	x.Reason = "panic"
 	if x.statusWritten {
 		x.abort()
