An answer too large to buffer does not reach a caller of HTTP/1.0 cut off

Callers of HTTP/1.0 got the first 8 MiB of a longer stream, with their length, as a complete success. Change: a response that did not fit is not sent; the connection is closed.

--- a/proxy/buffer.go
+++ b/proxy/buffer.go
@@ -18,6 +18,8 @@
 	http.ResponseWriter
 	status int
 	body   bytes.Buffer
+	// overflowed is set once the response did not fit.
+	overflowed bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -28,6 +30,7 @@
 // Write implements http.ResponseWriter.
 func (b *bufferedWriter) Write(p []byte) (int, error) {
 	if b.body.Len()+len(p) > maxBufferedBody {
+		b.overflowed = true
 		return 0, errResponseTooLarge
 	}
 	return b.body.Write(p)
@@ -43,8 +46,12 @@
 	return b.ResponseWriter
 }
 
-// close sends the response with its length.
+// close sends the response with its length. It panics with http.ErrAbortHandler, which closes the
+// connection, if a part of the response did not fit.
 func (b *bufferedWriter) close() {
+	if b.overflowed {
+		panic(http.ErrAbortHandler)
+	}
 	if b.status == 0 {
 		return
 	}
