A panic after the answer does not lose it

Cause: a panic while the request was logged or counted reached net/http, which closes the connection before it sends what it has buffered. Change: such a panic is logged with its stack, and the handler returns.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -293,11 +293,7 @@
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
-	id := ""
-	if x.Request != nil {
-		id = x.Request.ID
-	}
-	x.gate.Log.Error().Str("request", id).Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+	x.logPanic(v)
 	x.Reason = "panic"
 	if x.statusWritten {
 		x.abort()
@@ -308,6 +304,26 @@
 	})
 }
 
+// recoverAfterAnswer logs a panic after the answer was written, which net/http has yet to send.
+func (x *Exchange) recoverAfterAnswer() {
+	v := recover()
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	if v != nil {
+		x.logPanic(v)
+	}
+}
+
+// logPanic logs a recovered panic with its stack.
+func (x *Exchange) logPanic(v any) {
+	id := ""
+	if x.Request != nil {
+		id = x.Request.ID
+	}
+	x.gate.Log.Error().Str("request", id).Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
+}
+
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
 	elapsed := time.Since(x.start)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -268,6 +268,7 @@
 	}
 	g.open.Store(x, struct{}{})
 	defer g.open.Delete(x)
+	defer x.recoverAfterAnswer()
 	defer x.finish()
 	if !r.ProtoAtLeast(1, 1) {
 		b := &bufferedWriter{
