A connection on which the next request has begun to arrive is not idle

Cause: the background read of net/http takes the first byte of such a request while the last answer is owed, and callerConn forgot it at the end of the answer. Change: callerConn remembers it.

--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -38,6 +38,8 @@
 	since time.Time
 	// used is set once a request was handled.
 	used bool
+	// ahead is set if the first byte of the next request was received while an answer was owed.
+	ahead bool
 }
 
 // callerConnKey is the key of a request's *callerConn in its context.
@@ -47,11 +49,24 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.change(time.Now(), callerIdle, callerReceiving)
+		c.recordRead(time.Now(), len(b))
 	}
 	return n, err
 }
 
+// recordRead records that bytes were received into a buffer of the given size. While a request is handled,
+// net/http reads the first byte of the next one into a buffer of one byte, and bodies into larger ones.
+func (c *callerConn) recordRead(now time.Time, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.state == callerIdle:
+		c.state, c.since = callerReceiving, now
+	case c.state == callerServing && size == 1:
+		c.ahead = true
+	}
+}
+
 // CloseWrite implements the method that net/http calls before it closes a connection whose request it
 // has not read to its end.
 func (c *callerConn) CloseWrite() error {
@@ -61,12 +76,16 @@
 	return nil
 }
 
-// change changes the state if it is from.
-func (c *callerConn) change(now time.Time, from, to callerState) {
+// finish records that the answer of a request was returned.
+func (c *callerConn) finish(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == from {
-		c.state, c.since = to, now
+	if c.state != callerServing {
+		return
+	}
+	c.state, c.since = callerIdle, now
+	if c.ahead {
+		c.state = callerReceiving
 	}
 }
 
@@ -78,7 +97,7 @@
 	if c.state == callerClosed {
 		return false
 	}
-	c.state, c.since, c.used = callerServing, now, true
+	c.state, c.since, c.used, c.ahead = callerServing, now, true, false
 	return true
 }
 
@@ -162,7 +181,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.change(time.Now(), callerServing, callerIdle)
+		c.finish(time.Now())
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
