A refusal does not wait for the rest of its request's body

Cause: net/http reads the rest of a body before it sends an answer, here without a time limit. Change: a refusal bounds that read.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -53,6 +53,8 @@
 	// caller is the address of the caller's end of the connection.
 	caller string
 	start  time.Time
+	// bodyUnread is set until the body of the request was read to its end.
+	bodyUnread bool
 	// statusWritten is set once the head of the answer was written.
 	statusWritten bool
 	// endedBy is what ended the context of the request before its answer; empty if nothing did.
@@ -127,6 +129,10 @@
 // still loading its adapter.
 const maxLoadRetries = 4
 
+// unreadBodyTimeout is how long a refusal waits for the rest of a body that is not needed; if it comes in
+// time, the connection can be kept.
+const unreadBodyTimeout = 200 * time.Millisecond
+
 // unsentRetryAfter is the retry delay for a request that no target has executed.
 const unsentRetryAfter = 300 * time.Millisecond
 
@@ -249,6 +255,11 @@
 // refuse writes a refusal.
 func (x *Exchange) refuse(r Refusal) {
 	x.Status, x.Reason = r.Status, r.Reason
+	if x.bodyUnread {
+		// net/http reads the rest of the body before it sends the answer. Without support for deadlines
+		// the answer waits for it.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	h := x.w.Header()
 	x.gate.Codec.SetRefusalHeader(h, x.Request, r.RetryAfter)
 	h.Set("Content-Length", "0")
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -286,6 +286,7 @@
 // has begun.
 func (x *Exchange) process(now time.Time, r *http.Request) {
 	defer x.recoverPanic()
+	x.bodyUnread = r.ContentLength != 0
 	g := x.gate
 	if refusal := g.prepare(now, x, r); refusal != nil {
 		x.refuse(*refusal)
@@ -442,7 +443,7 @@
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, "body-not-read")
 	}
-	x.Request.Body = body
+	x.Request.Body, x.bodyUnread = body, false
 	return nil
 }
 
