The soak builds instances with the race detector and reads its reports

Change: under the race detector, or with -race-built, instances are built with it; a data race, a fatal error of the runtime or a panic in an instance's log is a violation. Seeds of -first are built so, the regression seeds with the plain program, whose timing they failed with.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -13,6 +13,9 @@
 // they listen, so that no proxy can be put between them. After the faults, a key is withdrawn
 // and a target drained.
 //
+// Instances are built with the race detector if the soak runs under it, or with -race-built;
+// each report of the runtime in the log of an instance is a violation.
+//
 // # Usage
 //
 //	go test ./soak -count 1 -seed 7 -for 20s
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,7 @@
 	seedCount     = flag.Int("seeds", 1, "number of seeds to run, starting with -first")
 	firstSeed     = flag.Uint64("first", 1, "the first seed to run")
 	faultDuration = flag.Duration("for", 6*time.Second, "how long faults are injected with each seed")
+	raceBuilt     = flag.Bool("race-built", underDetector, "build the instances with the race detector; its reports are violations")
 	logDir        = flag.String("keep", "", "directory for the log files of the instances; empty discards them")
 )
 
@@ -49,26 +50,40 @@
 func TestSoak(t *testing.T) {
 	// The proxies log every connection.
 	logrus.SetLevel(logrus.PanicLevel)
-	binary := filepath.Join(t.TempDir(), "currantstile")
-	out, err := exec.Command("go", "build", "-o", binary, "currantstile/cmd/currantstile").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	binary := buildProgram(t, *raceBuilt)
 	if *seedFlag != 0 {
 		runSeed(t, binary, *seedFlag)
 		return
 	}
-	all := make([]uint64, 0, *seedCount+len(regressionSeeds))
-	for _, r := range regressionSeeds {
-		all = append(all, r.seed)
+	// Regression seeds have failed with the plain program, whose timing differs.
+	plain := binary
+	if *raceBuilt {
+		plain = buildProgram(t, false)
 	}
-	for i := range *seedCount {
-		all = append(all, *firstSeed+uint64(i))
-	}
-	for _, seed := range all {
+	run := func(binary string, seed uint64) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runSeed(t, binary, seed)
 		})
 	}
+	for _, r := range regressionSeeds {
+		run(plain, r.seed)
+	}
+	for i := range *seedCount {
+		run(binary, *firstSeed+uint64(i))
+	}
+}
+
+// buildProgram builds the program, with the race detector or without, and returns its path.
+func buildProgram(t *testing.T, race bool) string {
+	binary := filepath.Join(t.TempDir(), "currantstile")
+	args := []string{"build", "-o", binary}
+	if race {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "currantstile/cmd/currantstile")...).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
 }
 
 // runSeed injects the faults of one seed while callers send requests, and fails the test if
@@ -104,7 +119,8 @@
 	e.awaitServing(rec, "crashed")
 	e.checkNotices(rec)
 	e.checkWithdrawals(rec)
-	violations := rec.finalViolations()
+	e.stop()
+	violations := append(rec.finalViolations(), e.logViolations()...)
 	for _, w := range e.engines {
 		for _, v := range w.Violations() {
 			violations = append(violations, w.ID+": "+v)
--- a/soak/testenv_test.go
+++ b/soak/testenv_test.go
@@ -216,10 +216,15 @@
 	}
 }
 
+// stop ends all instances for good; further calls do nothing.
 func (e *testEnv) stop() {
 	e.mu.Lock()
+	stopped := e.stopping
 	e.stopping = true
 	e.mu.Unlock()
+	if stopped {
+		return
+	}
 	for _, n := range e.instances {
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
