--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,7 +95,7 @@
 		require.NoError(t, os.MkdirAll(dir, 0o755))
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
-	e := newTestEnv(t, seed, binary, dir)
+	e := newTestEnv(t, binary, dir)
 	rec := e.rec
 	for _, w := range e.engines {
 		w.SetHandler(e.engineHandler(w, rand.New(rand.NewPCG(seed, rng.Uint64()))))
--- a/soak/testenv_test.go
+++ b/soak/testenv_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,7 +48,7 @@
 // proxies between them.
 type testEnv struct {
 	t         *testing.T
-	seed      uint64
+	number    uint32
 	binary    string
 	store     *fake.Store
 	engines   []*fake.Worker
@@ -78,10 +79,10 @@
 	return p
 }
 
-func newTestEnv(t *testing.T, seed uint64, binary, dir string) *testEnv {
+func newTestEnv(t *testing.T, binary, dir string) *testEnv {
 	e := &testEnv{
 		t:             t,
-		seed:          seed,
+		number:        environments.Add(1),
 		binary:        binary,
 		store:         fake.NewStore(t),
 		targetProxies: make(map[string]*toxiproxy.Proxy),
@@ -139,7 +140,7 @@
 	r := startRelay(e.t, p.Listen)
 	e.storeRelays = append(e.storeRelays, r)
 	name := fmt.Sprint("entry-", i)
-	ip := instanceAddr(e.seed, i)
+	ip := instanceAddr(e.number, i)
 	n := &instance{
 		callerAddr:   netip.AddrPortFrom(ip, callerPort),
 		settingsPath: filepath.Join(dir, name+".yaml"),
@@ -167,10 +168,13 @@
 	peerPort
 )
 
-// instanceAddr returns a loopback address for one instance of one seed. Instances do not
+// environments counts the environments of this process.
+var environments atomic.Uint32
+
+// instanceAddr returns a loopback address for one instance of one environment. Instances do not
 // share 127.0.0.1, where another socket could take their ports (the fault of seed 114).
-func instanceAddr(seed uint64, i int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(1 + seed%250), byte(10 + i)})
+func instanceAddr(environment uint32, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(1 + environment%250), byte(10 + i)})
 }
 
 // startProcess starts an instance's process and restarts it when it exits, until the
