The soak plays planned work and counts requests that it loses

Change: stops, SIGHUP in series and while stopping, other idle limits while stopping, and a reader of the log that ends are played beside the faults, from a random stream of their own, and alone afterwards, with clients that keep connections. A request that reached a target and whose connection ends without an answer is a violation unless its instance was killed or suspended in the 4 s before; it names the signals. Instances write their log to a pipe; reports of the runtime still go to the file.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -13,6 +13,10 @@
 // they listen, so that no proxy can be put between them. After the faults, a key is withdrawn
 // and a target drained.
 //
+// Planned work goes on beside the faults, and alone afterwards: stops, SIGHUP in series and while an
+// instance stops, other limits of idle connections, and readers of the log that end. A request that
+// has reached a target while nothing else disturbed its instance must be answered.
+//
 // Instances are built with the race detector if the soak runs under it, or with -race-built;
 // each report of the runtime in the log of an instance is a violation.
 //
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -90,6 +90,10 @@
 	responsesByStatus map[int]int
 	// crashes are the times at which engines crashed on a prompt.
 	crashes []time.Time
+	// reached are the requests that targets received, and lost those whose connection ended
+	// without an answer.
+	reached map[string]bool
+	lost    []lostRequest
 }
 
 // targetRun is the execution of a request at a target.
@@ -105,6 +109,7 @@
 		statusByID:        make(map[string]int),
 		servedByKind:      make(map[string]int),
 		responsesByStatus: make(map[int]int),
+		reached:           make(map[string]bool),
 	}
 }
 
@@ -171,6 +176,7 @@
 	}
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := fake.RequestID(r)
+		rec.recordReached(id)
 		if pick(20) == 0 {
 			fake.RejectNotExecuted(w)
 			return
@@ -284,9 +290,11 @@
 		rec.addViolation("creating request %s failed: %v", id, err)
 		return 0
 	}
+	start := time.Now()
 	resp, err := client.Do(r)
 	if err != nil {
 		rec.recordStatus(id, 0)
+		rec.recordLost(n, id, start, err)
 		return 0
 	}
 	defer resp.Body.Close()
@@ -328,7 +336,7 @@
 func (rec *recorder) finalViolations() []string {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	violations := rec.violations
+	violations := append(rec.violations, rec.lostViolations()...)
 	for id, status := range rec.statusByID {
 		switch status {
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,14 @@
 		seed:  114,
 		cause: "another socket had taken an instance's port; fixed by a loopback address for each instance",
 	},
+	{
+		seed:  7203,
+		cause: "an instance whose log was no longer read ended by SIGPIPE, with the requests that it had passed on",
+	},
+	{
+		seed:  7205,
+		cause: "SIGHUP ended an instance that was stopping, with the requests that it had passed on",
+	},
 }
 
 const (
@@ -112,9 +120,14 @@
 			e.runCaller(rec, i, callerRng, until.Add(time.Second))
 		})
 	}
+	wg.Go(func() {
+		e.injectPlannedWork(rand.New(rand.NewPCG(seed, plannedStream)), until)
+	})
 	e.injectFaults(rng, until)
 	wg.Wait()
 	e.awaitServing(rec, "healed")
+	e.checkPlannedWork(rand.New(rand.NewPCG(seed, plannedStream+1)))
+	e.awaitServing(rec, "planned")
 	e.checkCrashingPrompts()
 	e.awaitServing(rec, "crashed")
 	e.checkNotices(rec)
--- a/soak/testenv_test.go
+++ b/soak/testenv_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -42,6 +43,10 @@
 	cmd *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
+	// logReader is the reader of the process's log, and logCopied is closed when it has ended.
+	logReader *os.File
+	logCopied chan struct{}
+	signals   []sentSignal
 }
 
 // testEnv is the environment of one seed: the store, the targets, the instances, and the
@@ -65,6 +70,7 @@
 
 	mu            sync.Mutex
 	configVersion int
+	idleTimeout   time.Duration
 	keys          []string
 	stopping      bool
 }
@@ -131,6 +137,8 @@
 		Version: e.configVersion,
 		Keys:    strings.Join(quoted, ","),
 		Rate:    orgRate,
+
+		IdleTimeout: e.idleTimeout,
 	}))
 }
 
@@ -181,12 +189,25 @@
 // environment is stopped.
 func (e *testEnv) startProcess(n *instance) {
 	cmd := exec.Command(e.binary, "node", "-settings", n.settingsPath)
-	cmd.Stdout, cmd.Stderr = n.logFile, n.logFile
-	exited := make(chan struct{})
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		e.t.Errorf("opening a pipe for a log failed: %v", err)
+		return
+	}
+	// Reports of the runtime need no reader.
+	cmd.Stdout, cmd.Stderr = writer, n.logFile
+	exited, copied := make(chan struct{}), make(chan struct{})
 	n.mu.Lock()
-	err := cmd.Start()
-	n.cmd, n.exited = cmd, exited
+	err = cmd.Start()
+	n.cmd, n.exited, n.logReader, n.logCopied = cmd, exited, reader, copied
 	n.mu.Unlock()
+	_ = writer.Close()
+	go func() {
+		defer close(copied)
+		// It ends with the process, or when the reader is closed.
+		_, _ = io.Copy(n.logFile, reader)
+		_ = reader.Close()
+	}()
 	if err != nil {
 		e.t.Errorf("starting an instance failed: %v", err)
 		return
@@ -215,11 +236,31 @@
 	select {
 	case <-n.exited:
 	default:
+		// A process that was not suspended takes no notice of SIGCONT.
+		if s != syscall.SIGCONT {
+			n.signals = append(n.signals, sentSignal{
+				at:      time.Now(),
+				name:    s.String(),
+				planned: s == syscall.SIGTERM || s == syscall.SIGHUP,
+			})
+		}
 		// Fails only if the process has exited meanwhile.
 		_ = n.cmd.Process.Signal(s)
 	}
 }
 
+// endLogReader closes the reader of the process's log.
+func (n *instance) endLogReader() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.signals = append(n.signals, sentSignal{
+		at:      time.Now(),
+		name:    "log reader ends",
+		planned: true,
+	})
+	_ = n.logReader.Close()
+}
+
 // stop ends all instances for good; further calls do nothing.
 func (e *testEnv) stop() {
 	e.mu.Lock()
@@ -235,9 +276,10 @@
 	}
 	for _, n := range e.instances {
 		n.mu.Lock()
-		exited := n.exited
+		exited, copied := n.exited, n.logCopied
 		n.mu.Unlock()
 		<-exited
+		<-copied
 		_ = n.logFile.Close()
 	}
 }
