The judge counts requests that lose both their connections

Change: rule unanswered: while nothing but planned work disturbs its instance, a request that reached a target gets an answer, and at most three kept connections are closed without one under a request. Result: TestUnanswered has histories just inside and outside; rule lost finds none of them.

--- a/judge/judge_test.go
+++ b/judge/judge_test.go
@@ -32,12 +32,7 @@
 // Guards against a judge that does not see a broken rule, or sees one that is kept: for each rule a
 // history that breaks it, and one just inside.
 func TestRules(t *testing.T) {
-	tests := []struct {
-		rule   string
-		name   string
-		broken []judge.Event
-		kept   []judge.Event
-	}{
+	tests := []ruleCase{
 		{
 			rule: "mixed",
 			name: "answer of another request",
@@ -264,25 +259,6 @@
 				}
 			}),
 		},
-		{
-			rule: "lost",
-			name: "cut by an orderly stop",
-			broken: append(change(served(4000, "r", judge.Safe), func(a *judge.Answered) {
-				a.Status, a.Whole = 0, false
-			}), judge.Disturbed{
-				Time:     at(4000),
-				Until:    8 * time.Second,
-				Instance: "entry-0",
-				Planned:  true,
-			}),
-			kept: append(change(served(4000, "r", judge.Safe), func(a *judge.Answered) {
-				a.Status, a.Whole = 0, false
-			}), judge.Disturbed{
-				Time:     at(4000),
-				Until:    8 * time.Second,
-				Instance: "entry-0",
-			}),
-		},
 		{
 			rule: "time-limit",
 			name: "held for too long",
@@ -454,6 +430,7 @@
 			}),
 		},
 	}
+	tests = append(tests, lostCases()...)
 	tested := make(map[string]bool)
 	for _, tt := range tests {
 		tested[tt.rule] = true
--- a/judge/rules.go
+++ b/judge/rules.go
@@ -107,6 +107,10 @@
 		name:   "lost",
 		decide: decideLost,
 	},
+	{
+		name:   "unanswered",
+		decide: decideUnanswered,
+	},
 	{
 		name:   "time-limit",
 		decide: decideTimeLimit,
