--- a/drill/play.go
+++ b/drill/play.go
@@ -110,11 +110,13 @@
 	events   []judge.Event
 	arrivals map[string]int
 	// closed counts for each data centre the faults that close it at present.
-	closed   map[string]int
-	runs     int
-	version  int
-	keys     []string
-	versions map[string]uint64
+	closed  map[string]int
+	runs    int
+	version int
+	keys    []string
+	// idleLimit is the limit of idle connections in force; zero is the usual one.
+	idleLimit time.Duration
+	versions  map[string]uint64
 	// storeFaults are the faults of the store in force.
 	storeFaults map[int]storeFault
 }
@@ -465,6 +467,8 @@
 		Version: version,
 		Keys:    strings.Join(quoted, ","),
 		Rate:    p.day.Rate,
+
+		IdleTimeout: p.idleLimit,
 	}))
 	p.mu.Unlock()
 	p.record(judge.Configured{
@@ -487,9 +491,6 @@
 	p.replace(x, "", portAfter+crashAway)
 }
 
-// crashAway is for how long a target is away that a request has ended.
-const crashAway = 3 * time.Second
-
 // replace starts another process in the place of one that ended, after a time. The entry of the one
 // that ended goes unless the new one has its ID.
 func (p *player) replace(x *process, id string, after time.Duration) {
--- a/drill/targetfault.go
+++ b/drill/targetfault.go
@@ -215,3 +215,6 @@
 	p.store.Write(fake.WorkerPrefix+x.id, nil)
 	p.startTarget(p.ctx, x.place, "", false)
 }
+
+// crashAway is for how long a target is away that a request has ended.
+const crashAway = 3 * time.Second
