A panic without an answer does not pass for a success

Cause: every panic was recovered, and net/http answers with 200 for a handler that returns. Change: only a panic after the answer is recovered; without an answer the connection is aborted. The log has what ended a request also for streams that are broken off.

--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -101,9 +101,9 @@
 	return true
 }
 
-// closeUnowed closes the connection if no answer is owed and if it has waited since before the limit of
+// closeIdle closes the connection if no answer is owed and if it has waited since before the limit of
 // its state. It reports whether it did.
-func (c *callerConn) closeUnowed(now time.Time, l waitLimits) bool {
+func (c *callerConn) closeIdle(now time.Time, l waitLimits) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit := l.idle
@@ -131,7 +131,7 @@
 	idle, unused, receiving time.Duration
 }
 
-// callerConns are the open connections of callers. Its zero value is ready for use.
+// callerConns are the open connections of callers that a listener of listen has accepted.
 type callerConns struct {
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -200,12 +200,12 @@
 	return context.WithValue(ctx, callerConnKey{}, nc)
 }
 
-// closeUnowed closes the connections on which no answer is owed and that have waited for longer than the
+// closeIdle closes the connections on which no answer is owed and that have waited for longer than the
 // limits, and returns the addresses of their callers.
-func (s *callerConns) closeUnowed(now time.Time, l waitLimits) []string {
+func (s *callerConns) closeIdle(now time.Time, l waitLimits) []string {
 	var closed []string
 	for _, c := range s.all() {
-		if c.closeUnowed(now, l) {
+		if c.closeIdle(now, l) {
 			closed = append(closed, c.RemoteAddr().String())
 		}
 	}
@@ -244,7 +244,7 @@
 	t := time.NewTicker(closeCheckInterval)
 	defer t.Stop()
 	for {
-		s.closeUnowed(time.Now(), l)
+		s.closeIdle(time.Now(), l)
 		if len(s.all()) == 0 {
 			return true
 		}
--- a/proxy/callerconn_test.go
+++ b/proxy/callerconn_test.go
@@ -27,7 +27,7 @@
 	require.NoError(t, err)
 	var conns callerConns
 	conns.setState(c, http.StateIdle)
-	require.False(t, c.closeUnowed(time.Now(), waitLimits{
+	require.False(t, c.closeIdle(time.Now(), waitLimits{
 		receiving: time.Minute,
 	}))
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -53,6 +51,8 @@
 	// caller is the address of the caller's end of the connection.
 	caller string
 	start  time.Time
+	// answered is set once the answer was written to its end; net/http has yet to send the rest of it.
+	answered bool
 	// bodyUnread is set until the body of the request was read to its end.
 	bodyUnread bool
 	// statusWritten is set once the head of the answer was written.
@@ -294,47 +294,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// recoverPanic answers a request whose handler panicked, or aborts its connection if the answer has begun.
-// A target may have executed the request, so nothing is promised.
-func (x *Exchange) recoverPanic() {
-	v := recover()
-	if v == nil {
-		return
-	}
-	if v == http.ErrAbortHandler {
-		panic(v)
-	}
-	x.logPanic(v)
-	x.Reason = "panic"
-	if x.statusWritten {
-		x.abort()
-	}
-	x.refuse(Refusal{
-		Status: http.StatusBadGateway,
-		Reason: "panic",
-	})
-}
-
-// recoverAfterAnswer logs a panic after the answer was written, which net/http has yet to send.
-func (x *Exchange) recoverAfterAnswer() {
-	v := recover()
-	if v == http.ErrAbortHandler {
-		panic(v)
-	}
-	if v != nil {
-		x.logPanic(v)
-	}
-}
-
-// logPanic logs a recovered panic with its stack.
-func (x *Exchange) logPanic(v any) {
-	id := ""
-	if x.Request != nil {
-		id = x.Request.ID
-	}
-	x.gate.Log.Error().Str("request", id).Str("caller", x.caller).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("gate: handler panicked")
-}
-
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
 	elapsed := time.Since(x.start)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -190,7 +190,7 @@
 				idle:      timeout,
 				receiving: max(timeout, config.DefaultHeaderTimeout),
 			}
-			if closed := g.callers.closeUnowed(now, limits); len(closed) > 0 {
+			if closed := g.callers.closeIdle(now, limits); len(closed) > 0 {
 				g.Log.Info().Strs("callers", closed).Dur("limit", timeout).Msg("gate: idle connections closed")
 			}
 			g.Conns.CloseExpired(now)
@@ -230,7 +230,8 @@
 	if !g.callers.closeAll(ctx, limits) {
 		counts := g.callers.countByState()
 		g.Log.Warn().Any("connections", counts).Msg("gate: connections are open at the end of the grace period")
-		if counts[callerServing.String()] > 0 {
+		// net/http may still be closing the connections of answered requests.
+		if g.Running() > 0 {
 			err = errRequestsAborted
 			g.logOpen()
 		}
@@ -277,9 +278,10 @@
 		x.w = b
 		x.process(now, r)
 		b.close()
-		return
+	} else {
+		x.process(now, r)
 	}
-	x.process(now, r)
+	x.answered = true
 }
 
 // process answers the request. It panics with http.ErrAbortHandler to abort a response that
@@ -295,8 +297,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline.Add(-responseMargin))
 	defer cancel()
 	defer g.endWith(cancel)()
+	defer func() {
+		x.endedBy = g.endCause(ctx, r.Context())
+	}()
 	x.serve(ctx)
-	x.endedBy = g.endCause(ctx, r.Context())
 }
 
 // Values of Exchange.endedBy: what ended the context of a request before its answer.
