--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -50,7 +50,7 @@
 
 func runNode(ctx context.Context, args []string, _, _ io.Writer) error {
 	hangups := catchHangups()
-	keepWithoutReader()
+	ignoreBrokenPipe()
 	path, level := "", ""
 	fs := newFlags("node")
 	fs.StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
--- a/cmd/currantstile/serve.go
+++ b/cmd/currantstile/serve.go
@@ -48,7 +48,7 @@
 
 func runServe(ctx context.Context, args []string, _, _ io.Writer) error {
 	hangups := catchHangups()
-	keepWithoutReader()
+	ignoreBrokenPipe()
 	var s daemon.Settings
 	var logs logFlags
 	fs := newFlags("serve")
--- a/cmd/currantstile/signals.go
+++ b/cmd/currantstile/signals.go
@@ -6,9 +6,9 @@
 	"syscall"
 )
 
-// keepWithoutReader lets writes to a standard output that nobody reads fail instead of ending the
+// ignoreBrokenPipe lets writes to a standard output that nobody reads fail instead of ending the
 // process.
-func keepWithoutReader() {
+func ignoreBrokenPipe() {
 	signal.Ignore(syscall.SIGPIPE)
 }
 
