An instance is reachable for the others after it ran out of descriptors once

Cause: the server for calls of other instances ended for good at the first failed accept. Change: it logs the error and tries again after a delay, until it is stopped.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -236,6 +236,7 @@
 		Addr:    s.PeersAddr,
 		Handler: in,
 		Secret:  s.FleetSecret,
+		Log:     in.Log,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -220,6 +220,7 @@
 	n.peers = &peer.Server{
 		Addr:    s.Peers,
 		Network: n.Network,
+		Log:     n.Log,
 		Services: map[string]any{
 			wire.ServiceSched: &driver.Service{
 				Manager: n.manager,
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,10 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"currantstile/errs"
 	"currantstile/socket"
@@ -41,6 +45,7 @@
 	Services map[string]any
 	// Network is the network to listen in; nil is the operating system's.
 	Network socket.Network
+	Log     log.Logger
 
 	ln     net.Listener
 	mu     sync.Mutex
@@ -162,13 +167,21 @@
 	return s.ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// accept serves new connections until the listener fails or Stop is called.
+// acceptRetryDelay is the delay after a failed accept, as when the process has no descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// accept serves new connections until Stop is called.
 func (s *Server) accept(r *rpc.Server) {
 	for {
 		c, err := s.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			s.Log.Error().Err(err).Msg("peer: accepting a connection failed; trying again")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !s.add(c) {
 			_ = c.Close()
 			return
