A panicking handler of the product's own interfaces answers its request

Cause: nothing recovered a panic in httpd; hertz closes the connection. Change: the panic is logged with its stack and answered with 500; a stream is cut off as before, since hertz would end it as if it were complete.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -71,6 +71,7 @@
 	s.http = httpd.Server{
 		Addr:   s.Addr,
 		Routes: s.routes,
+		Log:    s.Log,
 	}
 	return s.http.Start()
 }
--- a/httpd/httpd.go
+++ b/httpd/httpd.go
@@ -16,13 +16,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/route"
+	"github.com/phuslu/log"
 
 	"currantstile/errs"
 )
@@ -67,6 +72,7 @@
 	ShutdownTimeout time.Duration
 	// Routes registers the handlers on the engine.
 	Routes func(*route.Engine)
+	Log    log.Logger
 
 	hertz     *server.Hertz
 	conns     connSet
@@ -117,7 +123,7 @@
 		server.WithDisablePrintRoute(true),
 		server.WithOnConnect(s.conns.track),
 	)
-	s.hertz.Engine.Use(trackBusy)
+	s.hertz.Engine.Use(trackBusy, s.recoverPanic)
 	s.Routes(s.hertz.Engine)
 	s.done = make(chan error, 1)
 	go func() {
@@ -126,6 +132,22 @@
 	return s.awaitRunning()
 }
 
+// recoverPanic is middleware that answers a request whose handler panicked. A stream is cut off: hertz
+// would end it as if it were complete.
+func (s *Server) recoverPanic(ctx context.Context, c *app.RequestContext) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.Log.Error().Str("path", string(c.Path())).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("httpd: handler panicked")
+			if c.Response.GetHijackWriter() != nil {
+				panic(v)
+			}
+			c.SetConnectionClose()
+			c.AbortWithStatus(consts.StatusInternalServerError)
+		}
+	}()
+	c.Next(ctx)
+}
+
 // awaitRunning waits until the event loop of hertz runs, because hertz rejects a
 // shutdown before that. It fails after startTimeout.
 func (s *Server) awaitRunning() error {
--- a/public/public.go
+++ b/public/public.go
@@ -77,6 +77,7 @@
 		WriteTimeout:    s.WriteTimeout,
 		ShutdownTimeout: s.ShutdownTimeout,
 		Routes:          s.routes,
+		Log:             s.Log,
 	}
 	return s.http.Start()
 }
