serve does not wait for the reader of its log

Cause: its log was written synchronously. Change: serve writes through logio, as node does. Result: TestServeOutlivesHangupsAndAStuckLog failed before (the instance did not stop) and passes; it also sends SIGHUP.

--- a/cmd/currantstile/demo.go
+++ b/cmd/currantstile/demo.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 
 	"currantstile/daemon"
 	"currantstile/demo"
@@ -48,7 +49,7 @@
 		Profile: profile,
 		Seed:    *seed,
 		Quota:   daemon.QuotaMode(*mode),
-		Log:     logs.logger(),
+		Log:     logs.logger(os.Stderr),
 	}
 	if err := f.Start(ctx); err != nil {
 		return err
--- a/cmd/currantstile/flags.go
+++ b/cmd/currantstile/flags.go
@@ -4,7 +4,6 @@
 	"flag"
 	"io"
 	"net/netip"
-	"os"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
@@ -115,15 +114,17 @@
 	}
 }
 
-// logger returns a logger with these settings that writes to stderr.
-func (l logFlags) logger() log.Logger {
+// logger returns a logger with these settings that writes to w.
+func (l logFlags) logger(w io.Writer) log.Logger {
 	logger := log.Logger{
-		Level:  log.ParseLevel(l.level),
-		Writer: &log.IOWriter{Writer: os.Stderr},
+		Level: log.ParseLevel(l.level),
+		Writer: &log.IOWriter{
+			Writer: w,
+		},
 	}
 	if l.format == "console" {
 		logger.Writer = &log.ConsoleWriter{
-			Writer: os.Stderr,
+			Writer: w,
 		}
 	}
 	return logger
--- a/cmd/currantstile/load.go
+++ b/cmd/currantstile/load.go
@@ -57,7 +57,7 @@
 	result, err := trial.Run(ctx, s, trial.Options{
 		User:          demo.UserName(*user),
 		Seed:          *seed,
-		Log:           logs.logger(),
+		Log:           logs.logger(os.Stderr),
 		Progress:      progressWriter(errOut),
 		PhaseDuration: *phaseTime,
 	})
--- a/cmd/currantstile/serve.go
+++ b/cmd/currantstile/serve.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"currantstile/daemon"
+	"currantstile/logio"
 	"currantstile/model"
 )
 
@@ -79,7 +81,12 @@
 	if err := fieldErrs.Err(); err != nil {
 		return settingsUsageError("serve", err)
 	}
-	logger := logs.logger()
+	lines := &logio.Writer{
+		Out:   os.Stderr,
+		Lines: logBufferLines,
+	}
+	defer lines.Flush(flushTimeout)
+	logger := logs.logger(lines)
 	go func() {
 		for range hangups {
 			logger.Info().Msg("entry: SIGHUP has no effect; settings change at a restart")
--- a/cmd/currantstile/signals_test.go
+++ b/cmd/currantstile/signals_test.go
@@ -185,3 +185,47 @@
 	release()
 	require.Equal(t, http.StatusOK, receive(t, status))
 }
+
+// Guards against an instance of the product's own path that a SIGHUP ends, or that waits for the reader
+// of its log when it stops.
+func TestServeOutlivesHangupsAndAStuckLog(t *testing.T) {
+	program := buildProgram(t)
+	store := startProcess(t, program, "standin", "store").readAddr(t)
+	members := startProcess(t, program, "standin", "instances").readAddr(t)
+	addr := func(port uint16) string {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 31, byte(1 + os.Getpid()%250), 200}), port).String()
+	}
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	defer read.Close()
+	cmd := exec.Command(program, "serve", "-id", "entry-0", "-data-centre", "east", "-callers", addr(7500), "-operators", addr(7501),
+		"-peers", addr(7502), "-store", store.String(), "-members", members.String())
+	cmd.Stderr = write
+	// The pipe is full, so that each write to it waits.
+	require.NoError(t, write.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = write.Write(make([]byte, 1<<20))
+	require.Error(t, err)
+	require.NoError(t, cmd.Start())
+	require.NoError(t, write.Close())
+	exited := make(chan error, 1)
+	go func() {
+		exited <- cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		// Fails if the process has exited.
+		_ = cmd.Process.Kill()
+	})
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + addr(7501) + "/status")
+		if err != nil {
+			return false
+		}
+		return resp.Body.Close() == nil
+	}, 20*time.Second, 20*time.Millisecond)
+	for range 3 {
+		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, receive(t, exited))
+}
