A panic outside of a handler ends no process

Change: errs.Contain logs the step and the stack, counts them by step (currantstile_panics_recovered_total, with those of errs.Recover), and the loop goes on. It goes around - each iteration of: Session.step, Manager.reconcile, Router.sendUpdates, Gate.Run, EvenAllocator.step, screen.run and runWrites, Node.maintain, Hub.follow, runBroadcast, monitorOutages, fillGaps and catchUp: they read their state anew each time; a write, message or decision that is given up is noticed by its reader as a lost one is. A loop that ends all the same starts again (Node.run); - goroutines of one step: Hub.sendToZone, sendToBranch, passOn and fetch; returned tokens, progress updates, pings, admission requests (the request waits as for a manager that does not respond), looks at targets that crashed, notices, answers about features: each may be lost today by its connection; - goroutines that others wait for, which now tell them: Pool.dial fails the waiting calls, watcher.write the write, Manager.sync marks the target's state as unread, so that no order is sent before the next report; base models are looked at again by their timer; load slots, idle connections, silent connections, probes; - connections of other instances: Server.serve closes the connection, and the codecs, which net/rpc calls in goroutines of its own, return an error. Locks around calls of what can fail are released by defer (EvenAllocator.extend, managedTarget.admit and update, applyProgress). Left out: callbacks that only cancel a context or close a connection (Exchange's end, Response.Abort, conn.reset), the accept loops, and what no recover ends, such as a map written twice. Result: TestPanicOfALoopEndsNoProcess (planted in the store's calls and reports) and TestPanicWhileDialingFailsOneCall failed before: the panic ended the test's process.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/clock"
+	"currantstile/errs"
 	"currantstile/model"
 	"currantstile/quota"
 	"currantstile/route"
@@ -84,7 +85,9 @@
 	e.absentSince = make(map[string]time.Time)
 	e.mu.Unlock()
 	for {
-		e.step(ctx, time.Now())
+		errs.Contain(&e.Log, "EvenAllocator.step", func() {
+			e.step(ctx, time.Now())
+		})
 		if !clock.Sleep(ctx, evenStepInterval) {
 			return
 		}
@@ -163,17 +166,7 @@
 func (e *EvenAllocator) step(ctx context.Context, now time.Time) {
 	current := e.Current(now)
 	alive := e.Alive()
-	e.mu.Lock()
-	if current {
-		e.confirmedAt = now
-		e.Ledger.ExtendExpiry(now, now.Add(EvenShareTTL))
-	}
-	if !e.shareActive && !now.Before(e.usableFrom) && slices.Contains(e.record.Instances, e.Self) {
-		e.applyShares(now)
-	}
-	next, ok := e.planRecord(now, alive)
-	expect := e.revision
-	e.mu.Unlock()
+	next, expect, ok := e.extend(now, current, alive)
 	if !ok || !current {
 		return
 	}
@@ -297,3 +290,19 @@
 	}
 	return list
 }
+
+// extend extends the share's validity and plans the next record. It returns the revision that the
+// record must have then, and false if it needs no change.
+func (e *EvenAllocator) extend(now time.Time, current bool, alive map[string]netip.AddrPort) (membershipRecord, store.Revision, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if current {
+		e.confirmedAt = now
+		e.Ledger.ExtendExpiry(now, now.Add(EvenShareTTL))
+	}
+	if !e.shareActive && !now.Before(e.usableFrom) && slices.Contains(e.record.Instances, e.Self) {
+		e.applyShares(now)
+	}
+	next, ok := e.planRecord(now, alive)
+	return next, e.revision, ok
+}
--- a/broker/token_acquirer.go
+++ b/broker/token_acquirer.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"currantstile/errs"
 	"currantstile/model"
 	"currantstile/peer"
 	"currantstile/quota"
@@ -154,7 +155,7 @@
 func (t *TokenAcquirer) returnTokens(org model.OrgID, own int64, others []contribution) {
 	t.Ledger.Refund(time.Now(), org, own)
 	for _, o := range others {
-		go func() {
+		go errs.Contain(&t.Log, "TokenAcquirer.returnTokens", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
 			defer cancel()
 			if err := t.Peers.Call(ctx, o.addr, wire.MethodReturnTokens, wire.ReturnTokensArgs{
@@ -163,7 +164,7 @@
 			}, &wire.Empty{}); err != nil {
 				t.Log.Debug().Err(err).Msg("share: tokens not returned to holder; they are lost to the organisation")
 			}
-		}()
+		})
 	}
 }
 
--- a/driver/basemodel.go
+++ b/driver/basemodel.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"currantstile/errs"
 )
 
 // modelPollInterval is the time until the report of a target without a base model is read
@@ -22,7 +24,7 @@
 		m.scheduleModelSync(mt)
 		return
 	}
-	go func() {
+	go errs.Contain(&m.Log, "Manager.ensureModel", func() {
 		defer m.scheduleModelSync(mt)
 		// A load of a model that the target has cached does not use the weight store.
 		if rate > 0 && !slices.Contains(r.CachedModels, model) && !m.LoadToken(context.Background(), mt.target.Service, rate) {
@@ -35,12 +37,12 @@
 			Load:    true,
 			Adapter: model,
 		})
-	}()
+	})
 }
 
 // scheduleModelSync reads a target's report again after modelPollInterval.
 func (m *Manager) scheduleModelSync(mt *managedTarget) {
 	time.AfterFunc(modelPollInterval, func() {
-		m.sync(context.Background(), mt)
+		m.syncContained(context.Background(), mt)
 	})
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -108,7 +108,9 @@
 // Run keeps the managed targets up to date until ctx is cancelled.
 func (m *Manager) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.reconcile(ctx)
+		errs.Contain(&m.Log, "Manager.reconcile", func() {
+			m.reconcile(ctx)
+		})
 		clock.Sleep(ctx, reconcileInterval)
 	}
 }
@@ -158,14 +160,8 @@
 		m.targets[t.ID] = mt
 	}
 	m.mu.Unlock()
-	mt.mu.Lock()
-	mt.state.Limits = limits
-	mt.state.SetCold(t.ColdUntil)
-	needSync := !mt.synced && !mt.syncing
-	mt.syncing = mt.syncing || needSync
-	mt.mu.Unlock()
-	if needSync {
-		go m.sync(ctx, mt)
+	if mt.update(limits, t.ColdUntil) {
+		go m.syncContained(ctx, mt)
 	}
 }
 
@@ -325,10 +321,7 @@
 			reply.Waits = waits
 			return reply
 		}
-		mt.mu.Lock()
-		d := mt.state.Admit(now, req)
-		changed := mt.changed
-		mt.mu.Unlock()
+		d, changed := mt.admit(now, req)
 		switch d := d.(type) {
 		case sched.Granted:
 			return wire.AdmissionReply{
@@ -414,15 +407,7 @@
 		if mt == nil {
 			continue
 		}
-		mt.mu.Lock()
-		for _, u := range progress.Notes {
-			mt.state.RecordProgress(time.Now(), u)
-		}
-		if mt.synced && mt.state.HasUnverified() {
-			m.markUnverified(mt)
-		}
-		mt.notifyWaiters()
-		mt.mu.Unlock()
+		m.applyProgress(mt, progress.Notes)
 	}
 }
 
--- a/driver/load.go
+++ b/driver/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"currantstile/errs"
 	"currantstile/sched"
 	"currantstile/wire"
 )
@@ -55,9 +56,7 @@
 	if reply, closed := m.closed(time.Now(), mt); closed {
 		return reply, false
 	}
-	mt.mu.Lock()
-	d := mt.state.Admit(time.Now(), req)
-	mt.mu.Unlock()
+	d, _ := mt.admit(time.Now(), req)
 	switch d := d.(type) {
 	case sched.Load:
 		if !m.load(mt, d) {
@@ -157,7 +156,9 @@
 		return
 	}
 	time.AfterFunc(ready.Sub(now), func() {
-		m.loadLimiter.Release(slot)
+		errs.Contain(&m.Log, "Manager.releaseWhenLoaded", func() {
+			m.loadLimiter.Release(slot)
+		})
 	})
 }
 
@@ -216,6 +217,6 @@
 	}
 	mt.syncing = true
 	time.AfterFunc(reportLag, func() {
-		m.sync(context.Background(), mt)
+		m.syncContained(context.Background(), mt)
 	})
 }
--- a/elect/session.go
+++ b/elect/session.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sys/unix"
 
 	"currantstile/clock"
+	"currantstile/errs"
 	"currantstile/fleet"
 	"currantstile/route"
 	"currantstile/store"
@@ -133,7 +134,9 @@
 	s.suspendedTotal = suspendedTime()
 	s.mu.Unlock()
 	for ctx.Err() == nil {
-		s.step(ctx)
+		errs.Contain(&s.Log, "Session.step", func() {
+			s.step(ctx)
+		})
 		clock.Sleep(ctx, stepInterval)
 	}
 }
--- a/errs/recover.go
+++ b/errs/recover.go
@@ -14,6 +14,7 @@
 //		defer errs.Recover("Service.Ask", &err)
 func Recover(op string, err *error) {
 	if v := recover(); v != nil {
+		countPanic(op)
 		*err = WithOp(errors.Errorf("panic: %v\n%s", v, debug.Stack()), op)
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/avail"
+	"currantstile/errs"
 	"currantstile/metric"
 	"currantstile/peer"
 	"currantstile/poison"
@@ -182,6 +183,9 @@
 			fmt.Fprintf(&b, "currantstile_%s %s\n", kv.Key, kv.Value)
 		})
 	}
+	errs.EachPanic(func(step string, count int64) {
+		fmt.Fprintf(&b, "currantstile_panics_recovered_total{step=%q} %d\n", step, count)
+	})
 	m.storeCalls.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(&b, "currantstile_store_calls_total{call=%q} %s\n", kv.Key, kv.Value)
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,9 @@
 		ColdRate: n.coldRate,
 	}
 	n.metrics = newMetrics()
+	n.Conns.Log = n.Log
 	n.pool = &peer.Pool{
+		Log:     n.Log,
 		Observe: n.observePeerTransfer,
 		Network: n.Network,
 		GaveUp:  n.recordGivenUp,
@@ -373,20 +375,26 @@
 
 // run starts the background loops, which run until Stop.
 func (n *Node) run(ctx context.Context) {
-	loops := []func(context.Context){
-		n.session.Run,
-		n.manager.Run,
-		n.router.Run,
-		n.gate.Run,
-		n.limiter.run,
-		n.screen.run,
-		n.screen.runWrites,
-		n.maintain,
-		n.hub.Run,
+	loops := map[string]func(context.Context){
+		"Session.Run":      n.session.Run,
+		"Manager.Run":      n.manager.Run,
+		"Router.Run":       n.router.Run,
+		"Gate.Run":         n.gate.Run,
+		"limiter.run":      n.limiter.run,
+		"screen.run":       n.screen.run,
+		"screen.runWrites": n.screen.runWrites,
+		"Node.maintain":    n.maintain,
+		"Hub.Run":          n.hub.Run,
 	}
-	for _, loop := range loops {
+	for name, loop := range loops {
 		n.wg.Go(func() {
-			loop(ctx)
+			// The steps of a loop contain their panics themselves; a loop that ends all the same starts again.
+			for ctx.Err() == nil {
+				errs.Contain(&n.Log, name, func() {
+					loop(ctx)
+				})
+				clock.Sleep(ctx, maintenanceInterval)
+			}
 		})
 	}
 }
@@ -396,15 +404,17 @@
 func (n *Node) maintain(ctx context.Context) {
 	lastLog := time.Now()
 	for clock.Sleep(ctx, maintenanceInterval) {
-		now := time.Now()
-		n.removeExpired(now)
-		n.limiter.logShareChange(now)
-		n.metrics.updateGauges(n)
-		if now.Sub(lastLog) >= storeLogInterval {
-			lastLog = now
-			n.metrics.logStoreCalls(&n.Log)
-			n.metrics.logPeerCalls(&n.Log)
-		}
+		errs.Contain(&n.Log, "Node.maintain", func() {
+			now := time.Now()
+			n.removeExpired(now)
+			n.limiter.logShareChange(now)
+			n.metrics.updateGauges(n)
+			if now.Sub(lastLog) >= storeLogInterval {
+				lastLog = now
+				n.metrics.logStoreCalls(&n.Log)
+				n.metrics.logPeerCalls(&n.Log)
+			}
+		})
 	}
 }
 
--- a/node/notices.go
+++ b/node/notices.go
@@ -12,6 +12,7 @@
 
 	"currantstile/avail"
 	"currantstile/elect"
+	"currantstile/errs"
 	"currantstile/store"
 )
 
@@ -137,28 +138,35 @@
 	s.pending[n.Target] = true
 	known := s.revisions[noticePrefix+n.Target]
 	time.AfterFunc(rand.N(maxShareDelay), func() {
-		now := time.Now()
-		s.mu.Lock()
-		delete(s.pending, n.Target)
-		current := s.revisions[noticePrefix+n.Target]
-		s.mu.Unlock()
-		t, ok := s.node.registry.View().Target(n.Target)
-		if !ok || current != known {
-			return
-		}
-		latest := s.node.avail.NoticeOf(now, t)
-		s.mu.Lock()
-		news := s.isNews(latest)
-		s.mu.Unlock()
-		if !latest.Leaving && latest.Pushback < minSharedPushback && !news {
-			return
-		}
-		s.node.screen.enqueue(func(ctx context.Context) bool {
-			return s.put(ctx, now, latest, current)
+		errs.Contain(&s.node.Log, "notices.share", func() {
+			s.shareNow(n, known)
 		})
 	})
 }
 
+// shareNow stores a notice unless another instance has done so since the given revision.
+func (s *notices) shareNow(n avail.Notice, known store.Revision) {
+	now := time.Now()
+	s.mu.Lock()
+	delete(s.pending, n.Target)
+	current := s.revisions[noticePrefix+n.Target]
+	s.mu.Unlock()
+	t, ok := s.node.registry.View().Target(n.Target)
+	if !ok || current != known {
+		return
+	}
+	latest := s.node.avail.NoticeOf(now, t)
+	s.mu.Lock()
+	news := s.isNews(latest)
+	s.mu.Unlock()
+	if !latest.Leaving && latest.Pushback < minSharedPushback && !news {
+		return
+	}
+	s.node.screen.enqueue(func(ctx context.Context) bool {
+		return s.put(ctx, now, latest, current)
+	})
+}
+
 // isNews reports whether a notice says something new of a target's rate limit. The caller holds mu.
 func (s *notices) isNews(n avail.Notice) bool {
 	if n.Limit == nil {
--- a/node/screen.go
+++ b/node/screen.go
@@ -275,11 +275,11 @@
 	for {
 		select {
 		case write := <-s.writes:
-			for !write(ctx) {
-				if !clock.Sleep(ctx, writeRetryDelay) {
-					return
+			// A write that panics is given up.
+			errs.Contain(&s.node.Log, "screen.runWrites", func() {
+				for !write(ctx) && clock.Sleep(ctx, writeRetryDelay) {
 				}
-			}
+			})
 		case <-ctx.Done():
 			return
 		}
@@ -289,17 +289,23 @@
 // run decides about features until ctx ends.
 func (s *screen) run(ctx context.Context) {
 	for clock.Sleep(ctx, screenInterval) {
-		now := time.Now()
-		for _, u := range s.ledger.Undecided() {
-			s.node.Log.Info().Str("feature", string(u.Feature)).Int("targets", u.Targets).Str("reason", u.Reason).Msg("poison: no decision about a feature")
-		}
-		if now.Sub(s.decidedAt) < decisionInterval {
-			continue
-		}
-		if candidates := s.ledger.Candidates(now); len(candidates) > 0 {
-			s.decidedAt = now
-			s.decide(ctx, candidates)
-		}
+		errs.Contain(&s.node.Log, "screen.run", func() {
+			s.step(ctx, time.Now())
+		})
+	}
+}
+
+// step decides about features if some are due.
+func (s *screen) step(ctx context.Context, now time.Time) {
+	for _, u := range s.ledger.Undecided() {
+		s.node.Log.Info().Str("feature", string(u.Feature)).Int("targets", u.Targets).Str("reason", u.Reason).Msg("poison: no decision about a feature")
+	}
+	if now.Sub(s.decidedAt) < decisionInterval {
+		return
+	}
+	if candidates := s.ledger.Candidates(now); len(candidates) > 0 {
+		s.decidedAt = now
+		s.decide(ctx, candidates)
 	}
 }
 
@@ -365,14 +371,16 @@
 			continue
 		}
 		wg.Go(func() {
-			var reply wire.LastAnswersReply
-			// An instance that does not reply is not waited for: the others' answers
-			// decide.
-			if err := s.node.pool.Call(ctx, i.Peers, wire.MethodLastAnswers, args, &reply); err != nil {
-				s.node.Log.Debug().Err(err).Str("instance", i.Name).Msg("poison: no reply about last answers")
-				return
-			}
-			merge(reply.Ages)
+			errs.Contain(&s.node.Log, "screen.lastAnswers", func() {
+				var reply wire.LastAnswersReply
+				// An instance that does not reply is not waited for: the others' answers
+				// decide.
+				if err := s.node.pool.Call(ctx, i.Peers, wire.MethodLastAnswers, args, &reply); err != nil {
+					s.node.Log.Debug().Err(err).Str("instance", i.Name).Msg("poison: no reply about last answers")
+					return
+				}
+				merge(reply.Ages)
+			})
 		})
 	}
 	wg.Wait()
--- a/origin/idle.go
+++ b/origin/idle.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"currantstile/errs"
 )
 
 // idleList holds the idle connections to one target. A target bounds the connections of all instances
@@ -104,7 +106,9 @@
 	keepAlive := p.putIdle(time.Now(), addr, c)
 	if share > 0 && share < 1 {
 		time.AfterFunc(keepAlive, func() {
-			p.closeExpired(time.Now(), addr)
+			errs.Contain(&p.Log, "Pool.closeExpired", func() {
+				p.closeExpired(time.Now(), addr)
+			})
 		})
 	}
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -30,6 +30,7 @@
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"currantstile/socket"
@@ -199,6 +200,7 @@
 	DialTimeout time.Duration
 	// Network is the network to dial in; nil is the operating system's.
 	Network socket.Network
+	Log     log.Logger
 
 	mu          sync.Mutex
 	idle        map[netip.AddrPort]*idleList
@@ -249,9 +251,7 @@
 	writeDone := make(chan error, 1)
 	msg := encodeRequest(r)
 	if len(msg) > maxInlineWrite {
-		go func() {
-			writeDone <- w.write(msg)
-		}()
+		go w.writeTo(writeDone, msg)
 	} else {
 		writeDone <- w.write(msg)
 	}
--- a/origin/silent.go
+++ b/origin/silent.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"currantstile/errs"
 	"currantstile/socket"
 )
 
@@ -65,7 +66,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(silenceDelay, w.check)
+	w.timer = time.AfterFunc(silenceDelay, func() {
+		errs.Contain(&p.Log, "watcher.check", w.check)
+	})
 	return w
 }
 
@@ -76,6 +79,18 @@
 	return err
 }
 
+// writeTo writes the request and sends the result to done.
+func (w *watcher) writeTo(done chan<- error, msg []byte) {
+	errs.Contain(&w.pool.Log, "watcher.write", func() {
+		// It stands after a panic.
+		err := errs.New("watcher.write", "the request was not written")
+		defer func() {
+			done <- err
+		}()
+		err = w.write(msg)
+	})
+}
+
 // stop ends the watch. It reports whether the connection was given up.
 func (w *watcher) stop() bool {
 	w.mu.Lock()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/netip"
 	"net/rpc"
+
+	"currantstile/errs"
 )
 
 // Transfer is the traffic of one request or one response of a call.
@@ -91,16 +93,18 @@
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
-func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) (err error) {
+	defer errs.Recover("clientCodec.ReadResponseHeader", &err)
 	c.readBefore = c.stream.read
-	err := c.dec.Decode(r)
+	err = c.dec.Decode(r)
 	c.method = r.ServiceMethod
 	return err
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c *clientCodec) ReadResponseBody(body any) error {
-	err := c.dec.Decode(body)
+func (c *clientCodec) ReadResponseBody(body any) (err error) {
+	defer errs.Recover("clientCodec.ReadResponseBody", &err)
+	err = c.dec.Decode(body)
 	c.observe(Transfer{
 		Addr:   c.addr,
 		Method: c.method,
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"currantstile/errs"
@@ -48,6 +49,7 @@
 	Observe func(Transfer)
 	// Network is the network to dial in; nil is the operating system's.
 	Network socket.Network
+	Log     log.Logger
 	// GaveUp is called for each silent connection that was replaced; it may be nil.
 	GaveUp func(GivenUp)
 
@@ -162,7 +164,9 @@
 			done: make(chan struct{}),
 		}
 		c.pending = d
-		go c.dial(d, addr, p)
+		go errs.Contain(&p.Log, "Pool.dial", func() {
+			c.dial(d, addr, p)
+		})
 	}
 	c.mu.Unlock()
 	select {
@@ -175,14 +179,19 @@
 
 // dial opens the connection and wakes the callers that wait for it.
 func (c *peerConn) dial(d *pendingDial, addr netip.AddrPort, p *Pool) {
-	conn, err := c.open(addr, p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pending = nil
-	if d.err = err; err == nil {
-		c.conn, d.conn = conn, conn
-	}
-	close(d.done)
+	var conn *watchedConn
+	// It stands after a panic.
+	err := errs.New("peerConn.dial", "no connection was opened")
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.pending = nil
+		if d.err = err; err == nil {
+			c.conn, d.conn = conn, conn
+		}
+		close(d.done)
+	}()
+	conn, err = c.open(addr, p)
 }
 
 // open opens and authenticates a connection.
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"currantstile/errs"
 )
 
 const (
@@ -67,7 +69,9 @@
 			return ctx.Err()
 		case now := <-timer.C:
 			if now.Sub(began) >= silenceDelay && conn.silence(now) >= silenceDelay && conn.probing.CompareAndSwap(false, true) {
-				go c.probe(conn, addr, p)
+				go errs.Contain(&p.Log, "Pool.probe", func() {
+					c.probe(conn, addr, p)
+				})
 			}
 			timer.Reset(silenceDelay)
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -186,14 +186,15 @@
 			_ = c.Close()
 			return
 		}
-		go func() {
+		go errs.Contain(&s.Log, "Server.serve", func() {
 			defer s.remove(c)
+			// The other instance opens a new connection after a panic.
+			defer c.Close()
 			if err := authenticate(c, s.Secret, roleServer); err != nil {
-				_ = c.Close()
 				return
 			}
 			r.ServeCodec(newServerCodec(c))
-		}()
+		})
 	}
 }
 
--- a/peer/server_codec.go
+++ b/peer/server_codec.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 
 	"github.com/pkg/errors"
+
+	"currantstile/errs"
 )
 
 // maxMessageBytes bounds one request of another instance. The largest are a configuration
@@ -69,18 +71,20 @@
 
 // WriteResponse implements rpc.ServerCodec. net/rpc serializes its calls. After an error the
 // connection is closed, since the client cannot find the next response.
-func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	err := c.enc.Encode(r)
-	if err == nil {
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) (err error) {
+	defer func() {
+		if err != nil {
+			// The connection is unusable, and err has the cause.
+			_ = c.Close()
+		}
+	}()
+	defer errs.Recover("serverCodec.WriteResponse", &err)
+	if err = c.enc.Encode(r); err == nil {
 		err = c.enc.Encode(body)
 	}
 	if err == nil {
 		err = c.buf.Flush()
 	}
-	if err != nil {
-		// The connection is unusable, and err has the cause.
-		_ = c.Close()
-	}
 	return err
 }
 
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -8,6 +8,7 @@
 
 	"currantstile/clock"
 	"currantstile/config"
+	"currantstile/errs"
 	"currantstile/fleet"
 	"currantstile/route"
 	"currantstile/sched"
@@ -267,10 +268,11 @@
 	done := make(chan result, 1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
+	go errs.Contain(&r.Log, "Router.requestAdmission", func() {
 		callCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), admissionTimeout)
 		defer stop()
 		var reply wire.AdmissionReply
+		// After a panic the request waits no longer than for a manager that does not respond.
 		err := r.Peers.Call(callCtx, in.Peers, wire.MethodRequestAdmission, args, &reply)
 		if err == nil && reply.Granted && ctx.Err() != nil {
 			p.release(time.Now(), endNotExecuted)
@@ -279,7 +281,7 @@
 			reply: reply,
 			err:   err,
 		}
-	}()
+	})
 	lastContact := time.Now()
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -299,7 +301,9 @@
 				continue
 			}
 			if now.Sub(lastContact) < livenessTimeout {
-				go r.ping(in)
+				go errs.Contain(&r.Log, "Router.ping", func() {
+					r.ping(in)
+				})
 				continue
 			}
 			cancel()
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/call"
+	"currantstile/errs"
 	"currantstile/fleet"
 	"currantstile/poison"
 )
@@ -100,7 +101,9 @@
 // schedule schedules the next look at a target. The caller holds the lock.
 func (d *crashDetector) schedule(t *interruptedTarget) {
 	time.AfterFunc(time.Until(t.since.Add(lookTimes[t.looks])), func() {
-		d.look(t)
+		errs.Contain(&d.log, "crashDetector.look", func() {
+			d.look(t)
+		})
 	})
 }
 
@@ -167,11 +170,13 @@
 	defer d.mu.Unlock()
 	if len(d.ended) == 0 {
 		time.AfterFunc(reportDelay, func() {
-			d.mu.Lock()
-			ended := d.ended
-			d.ended = nil
-			d.mu.Unlock()
-			d.screen.RecordEnded(time.Now(), ended)
+			errs.Contain(&d.log, "crashDetector.report", func() {
+				d.mu.Lock()
+				ended := d.ended
+				d.ended = nil
+				d.mu.Unlock()
+				d.screen.RecordEnded(time.Now(), ended)
+			})
 		})
 	}
 	d.ended = append(d.ended, t)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -182,24 +182,31 @@
 	for {
 		select {
 		case now := <-t.C:
-			timeout := config.DefaultIdleTimeout
-			if c := g.Config(); c != nil {
-				timeout = c.Limits.IdleTimeout
-			}
-			limits := waitLimits{
-				idle:      timeout,
-				receiving: max(timeout, config.DefaultHeaderTimeout),
-			}
-			if closed := g.callers.closeIdle(now, limits); len(closed) > 0 {
-				g.Log.Info().Strs("callers", closed).Dur("limit", timeout).Msg("gate: idle connections closed")
-			}
-			g.Conns.CloseExpired(now)
+			errs.Contain(&g.Log, "Gate.Run", func() {
+				g.sweep(now)
+			})
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// sweep closes expired idle connections.
+func (g *Gate) sweep(now time.Time) {
+	timeout := config.DefaultIdleTimeout
+	if c := g.Config(); c != nil {
+		timeout = c.Limits.IdleTimeout
+	}
+	limits := waitLimits{
+		idle:      timeout,
+		receiving: max(timeout, config.DefaultHeaderTimeout),
+	}
+	if closed := g.callers.closeIdle(now, limits); len(closed) > 0 {
+		g.Log.Info().Strs("callers", closed).Dur("limit", timeout).Msg("gate: idle connections closed")
+	}
+	g.Conns.CloseExpired(now)
+}
+
 // Running returns the number of requests in progress.
 func (g *Gate) Running() int64 {
 	return g.running.Load()
--- a/proxy/updates.go
+++ b/proxy/updates.go
@@ -6,6 +6,7 @@
 
 	"currantstile/avail"
 	"currantstile/clock"
+	"currantstile/errs"
 	"currantstile/sched"
 	"currantstile/wire"
 )
@@ -74,8 +75,10 @@
 		if !clock.Sleep(ctx, updateBatchInterval) {
 			return
 		}
-		r.sendUpdates(ctx)
-		r.balancer.Prune(time.Now().Add(-balancerRetention))
+		errs.Contain(&r.Log, "Router.sendUpdates", func() {
+			r.sendUpdates(ctx)
+			r.balancer.Prune(time.Now().Add(-balancerRetention))
+		})
 	}
 }
 
@@ -99,7 +102,7 @@
 		if !ok {
 			continue
 		}
-		go func() {
+		go errs.Contain(&r.Log, "Router.sendUpdates", func() {
 			ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 			defer cancel()
 			// Lost updates are not resent: the manager ends such a grant when it
@@ -109,6 +112,6 @@
 				return
 			}
 			r.recordContact(time.Now(), instance)
-		}()
+		})
 	}
 }
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantstile/clock"
+	"currantstile/errs"
 	"currantstile/store"
 )
 
@@ -122,20 +123,29 @@
 // fillGaps asks other instances for missing changes until ctx is done.
 func (h *Hub) fillGaps(ctx context.Context) {
 	for clock.Sleep(ctx, gapCheckInterval) {
-		for _, f := range h.Followers {
-			source, after, ok := f.missingFrom(time.Now())
-			if !ok {
-				continue
-			}
-			for _, p := range h.Peers() {
-				if p.Name == source {
-					go h.fetch(ctx, p, []Position{
+		errs.Contain(&h.Log, "Hub.fillGaps", func() {
+			h.askForGaps(ctx)
+		})
+	}
+}
+
+// askForGaps asks other instances for the changes that are missing now.
+func (h *Hub) askForGaps(ctx context.Context) {
+	for _, f := range h.Followers {
+		source, after, ok := f.missingFrom(time.Now())
+		if !ok {
+			continue
+		}
+		for _, p := range h.Peers() {
+			if p.Name == source {
+				h.goContained("Hub.fetch", func() {
+					h.fetch(ctx, p, []Position{
 						{
 							Prefix: f.Prefix,
 							After:  after,
 						},
 					})
-				}
+				})
 			}
 		}
 	}
@@ -148,17 +158,19 @@
 	interval := minCatchUpInterval
 	source := ""
 	for clock.Sleep(ctx, interval) {
-		now := time.Now()
-		h.rememberPeers(now)
-		if !h.mustCatchUp(now) {
-			interval, source = minCatchUpInterval, ""
-			continue
-		}
-		if source = h.fetchAll(ctx, h.catchUpPeers(source)); source != "" {
-			interval = minCatchUpInterval
-		} else {
-			interval = min(2*interval, maxCatchUpInterval)
-		}
+		errs.Contain(&h.Log, "Hub.catchUp", func() {
+			now := time.Now()
+			h.rememberPeers(now)
+			if !h.mustCatchUp(now) {
+				interval, source = minCatchUpInterval, ""
+				return
+			}
+			if source = h.fetchAll(ctx, h.catchUpPeers(source)); source != "" {
+				interval = minCatchUpInterval
+			} else {
+				interval = min(2*interval, maxCatchUpInterval)
+			}
+		})
 	}
 }
 
@@ -245,7 +257,9 @@
 	current := make([]bool, len(peers))
 	for i, p := range peers {
 		wg.Go(func() {
-			current[i] = h.fetch(ctx, p, h.positions())
+			errs.Contain(&h.Log, "Hub.fetch", func() {
+				current[i] = h.fetch(ctx, p, h.positions())
+			})
 		})
 	}
 	wg.Wait()
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/clock"
+	"currantstile/errs"
 	"currantstile/route"
 	"currantstile/store"
 )
@@ -174,11 +175,13 @@
 func (h *Hub) monitorOutages(ctx context.Context) {
 	for clock.Sleep(ctx, roleCheckInterval) {
 		// An instance that has not joined gets no messages.
-		h.Health.SetStarting(!h.hasJoined())
-		h.Health.SetListener(!h.isDesignatedReader())
-		now := time.Now()
-		h.recordOutage(now)
-		h.logCurrency(now)
+		errs.Contain(&h.Log, "Hub.monitorOutages", func() {
+			h.Health.SetStarting(!h.hasJoined())
+			h.Health.SetListener(!h.isDesignatedReader())
+			now := time.Now()
+			h.recordOutage(now)
+			h.logCurrency(now)
+		})
 	}
 }
 
@@ -230,19 +233,26 @@
 // needs the store.
 func (h *Hub) follow(ctx context.Context, f *Follower) {
 	for ctx.Err() == nil {
-		now := time.Now()
-		if f.Deferred != nil && !f.Listed() && f.Deferred() {
-			clock.Sleep(ctx, deferralInterval)
-			continue
-		}
-		if !h.mayRead(now, f.Readers) && !f.needsStore(now) || !h.Health.AllowCall(now) {
-			clock.Sleep(ctx, roleCheckInterval)
-			continue
-		}
-		clock.Sleep(ctx, f.poll(ctx))
+		wait := roleCheckInterval
+		errs.Contain(&h.Log, "Hub.follow", func() {
+			wait = h.followOnce(ctx, f)
+		})
+		clock.Sleep(ctx, wait)
 	}
 }
 
+// followOnce polls a prefix if that is this instance's to do. It returns the time until the next look.
+func (h *Hub) followOnce(ctx context.Context, f *Follower) time.Duration {
+	now := time.Now()
+	if f.Deferred != nil && !f.Listed() && f.Deferred() {
+		return deferralInterval
+	}
+	if !h.mayRead(now, f.Readers) && !f.needsStore(now) || !h.Health.AllowCall(now) {
+		return roleCheckInterval
+	}
+	return f.poll(ctx)
+}
+
 // mayRead reports whether this instance is a store reader now. The given number of
 // instances, and at least one, read at the same time; the others take over, in the order
 // of their ranks, when no messages of a store reader arrive.
@@ -330,29 +340,36 @@
 func (h *Hub) runBroadcast(ctx context.Context) {
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
-	for {
-		select {
-		case p := <-h.queue:
-			m := Message{
-				From:  h.Self,
-				Parts: []PrefixUpdate{p},
-			}
-			for more := true; more; {
-				select {
-				case p := <-h.queue:
-					m.Parts = append(m.Parts, p)
-				default:
-					more = false
-				}
-			}
-			h.broadcast(ctx, m)
-		case now := <-t.C:
-			if h.isDesignatedReader() && h.inSync(now) {
-				h.broadcast(ctx, h.pingMessage())
+	for ctx.Err() == nil {
+		// Receivers notice a message that is given up by the positions of the next one.
+		errs.Contain(&h.Log, "Hub.runBroadcast", func() {
+			h.broadcastNext(ctx, t.C)
+		})
+	}
+}
+
+// broadcastNext waits for updates or the next tick, and sends what is due.
+func (h *Hub) broadcastNext(ctx context.Context, ticks <-chan time.Time) {
+	select {
+	case p := <-h.queue:
+		m := Message{
+			From:  h.Self,
+			Parts: []PrefixUpdate{p},
+		}
+		for more := true; more; {
+			select {
+			case p := <-h.queue:
+				m.Parts = append(m.Parts, p)
+			default:
+				more = false
 			}
-		case <-ctx.Done():
-			return
 		}
+		h.broadcast(ctx, m)
+	case now := <-ticks:
+		if h.isDesignatedReader() && h.inSync(now) {
+			h.broadcast(ctx, h.pingMessage())
+		}
+	case <-ctx.Done():
 	}
 }
 
@@ -388,7 +405,9 @@
 	h.recordEvidence(now, now, m.From, m.Calm)
 	// The sender has only passed the message on and may lack earlier ones itself.
 	h.receiveUpdates(now, m.Parts, m.sender(), m.From)
-	go h.passOn(m)
+	h.goContained("Hub.passOn", func() {
+		h.passOn(m)
+	})
 }
 
 // recordEvidence records that another instance was up to date with the store at a time, and for
--- a/watch/spread.go
+++ b/watch/spread.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"currantstile/errs"
 )
 
 const (
@@ -121,6 +123,11 @@
 	return Peer{}, false
 }
 
+// goContained runs a step in a goroutine of its own.
+func (h *Hub) goContained(step string, f func()) {
+	go errs.Contain(&h.Log, step, f)
+}
+
 // broadcast sends a message to all other instances without waiting for the deliveries.
 func (h *Hub) broadcast(ctx context.Context, m Message) {
 	m.Calm = time.Since(h.LastOutage())
@@ -133,7 +140,9 @@
 		zones[p.Zone] = true
 	}
 	for zone := range zones {
-		go h.sendToZone(ctx, m, wholeZone(zone))
+		h.goContained("Hub.sendToZone", func() {
+			h.sendToZone(ctx, m, wholeZone(zone))
+		})
 	}
 }
 
@@ -143,7 +152,9 @@
 func (h *Hub) sendToZone(ctx context.Context, m Message, within Range) {
 	if within.Zone == h.Zone {
 		for _, b := range splitRange(within, membersOf(within, h.Peers(), m.Path), fanout) {
-			go h.sendToBranch(ctx, m, b)
+			h.goContained("Hub.sendToBranch", func() {
+				h.sendToBranch(ctx, m, b)
+			})
 		}
 		return
 	}
