Bound what requests and answers take of the memory together

Change: package memory, one budget for an instance with a share for bodies and one for answers, charged as buffers grow and given back when the request ends. No holder may have more than is left for all others, so that the largest are ended and small ones find room. An answer that does not fit has run: 502, or another target where a repeat is allowed. A body that won't be sent again is dropped once it is written, if the share is half full. Head and body are written without a second copy. Reports and answers to orders are charged as well. Gauges, a counter of refusals, a log line for an answer that is ended.

--- a/call/call.go
+++ b/call/call.go
@@ -27,7 +27,6 @@
 	Key string
 	// Header holds the header fields that are forwarded unchanged.
 	Header http.Header
-	Body   []byte
 	// Arrived is when the head of the request was read; Deadline is when the
 	// caller stops waiting.
 	Arrived  time.Time
--- a/itest/layers_test.go
+++ b/itest/layers_test.go
@@ -15,7 +15,7 @@
 // layers lists the packages of each layer, from the lowest to the highest. A package
 // may import packages of its own and of lower layers only.
 var layers = [][]string{
-	{"model", "errs", "metric", "shard", "store", "memkv", "clock", "config", "fleet", "logio"},
+	{"model", "errs", "metric", "memory", "shard", "store", "memkv", "clock", "config", "fleet", "logio"},
 	{"commit", "member", "dedup", "allot", "quota", "cache", "route", "sched", "watch", "elect", "poison", "avail"},
 	{"wire", "call", "stream", "socket", "memnet"},
 	{"rest", "httpd", "remote", "peer", "engine", "loader", "send", "broker", "public", "admin", "origin", "driver", "proxy"},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/avail"
+	"currantstile/memory"
 	"currantstile/metric"
 	"currantstile/peer"
 	"currantstile/poison"
@@ -152,6 +153,14 @@
 	gauge("connections_opened", float64(n.Conns.OpenedConns()))
 	gauge("connections_idle", float64(n.Conns.IdleConns()))
 	gauge("connections_silent", float64(n.Conns.SilentConns()))
+	for share, pool := range map[string]*memory.Pool{
+		"bodies":  n.budget.Bodies,
+		"answers": n.budget.Answers,
+	} {
+		gauge(fmt.Sprintf("memory_held_bytes{share=%q}", share), float64(pool.Held()))
+		gauge(fmt.Sprintf("memory_limit_bytes{share=%q}", share), float64(pool.Limit()))
+		gauge(fmt.Sprintf("memory_refusals_total{share=%q}", share), float64(pool.Refused()))
+	}
 	blocks := n.screen.ledger.Blocks(now)
 	gauge("blocked_features", float64(len(blocks)))
 	closed := n.avail.Closed(now, view)
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"currantstile/elect"
 	"currantstile/errs"
 	"currantstile/fleet"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/peer"
 	"currantstile/proxy"
@@ -103,6 +104,7 @@
 	hub              *watch.Hub
 	instanceFollower *watch.Follower
 	metrics          *metrics
+	budget           *memory.Budget
 	servers          []*http.Server
 	draining         atomic.Bool
 	cancel           context.CancelFunc
@@ -138,6 +140,8 @@
 		KV:      n.KV,
 		Observe: n.metrics.recordStoreCall,
 	}
+	n.budget = memory.NewBudget(n.Settings.MemoryBytes)
+	n.Conns.Answers = n.budget.Answers
 	n.buildManager()
 	n.buildFollowers()
 	n.limiter = newLimiter(n)
@@ -219,6 +223,7 @@
 		Screen:         n.screen,
 		Router:         n.router,
 		Conns:          n.Conns,
+		Budget:         n.budget,
 		ObserveRequest: n.metrics.recordRequest,
 		Network:        n.Network,
 		Log:            n.Log,
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -32,6 +32,7 @@
 
 	"github.com/pkg/errors"
 
+	"currantstile/memory"
 	"currantstile/socket"
 )
 
@@ -94,6 +95,11 @@
 	// IdleShare is how many idle connections to the target this instance may keep, on average over
 	// time; 0 applies only the limits of the pool.
 	IdleShare float64
+	// Written is called, on another goroutine, once all of a request that is larger than maxInlineWrite is
+	// written; it may be nil.
+	Written func()
+	// Held takes the bytes of the head of the response, which its owner releases; nil is no bound.
+	Held *memory.Holder
 }
 
 // SendError is the error of a request without a response.
@@ -131,6 +137,8 @@
 	// headLeft is how many bytes may still be read for a head; negative while a body is
 	// read, which is passed on or bounded by its reader.
 	headLeft int
+	// held takes the bytes of the head.
+	held *memory.Holder
 	// oldHead is the head that is being read, as long as it may be one in HTTP/1.0.
 	oldHead  []byte
 	mayBeOld bool
@@ -163,6 +171,9 @@
 	if c.headLeft > 0 {
 		c.headLeft -= n
 		c.keepOldHead(b[:n])
+		if !c.held.Grow(int64(n)) {
+			return n, memory.ErrNoRoom
+		}
 	}
 	return n, err
 }
@@ -199,6 +210,8 @@
 	DialTimeout time.Duration
 	// Network is the network to dial in; nil is the operating system's.
 	Network socket.Network
+	// Answers bounds the answers to orders that are held; nil is no bound.
+	Answers *memory.Pool
 
 	mu          sync.Mutex
 	idle        map[netip.AddrPort]*idleList
@@ -247,20 +260,26 @@
 	stop := context.AfterFunc(ctx, c.reset)
 	w := p.watch(c, r.Addr)
 	writeDone := make(chan error, 1)
-	msg := encodeRequest(r)
-	if len(msg) > maxInlineWrite {
+	head, body, written := encodeHead(r), r.Body, r.Written
+	// While the answer is awaited, only the writer holds the body.
+	r.Body = nil
+	if len(head)+len(body) > maxInlineWrite {
 		go func() {
-			writeDone <- w.write(msg)
+			err := w.write(head, body)
+			if err == nil && written != nil {
+				written()
+			}
+			writeDone <- err
 		}()
 	} else {
-		writeDone <- w.write(msg)
+		writeDone <- w.write(head, body)
 	}
 	req := &http.Request{
 		Method: r.Method,
 	}
-	c.headLeft, c.oldHead, c.mayBeOld = maxHeadBytes, c.oldHead[:0], true
+	c.headLeft, c.oldHead, c.mayBeOld, c.held = maxHeadBytes, c.oldHead[:0], true, r.Held
 	resp, err := readResponse(c.br, req)
-	c.headLeft = -1
+	c.headLeft, c.held = -1, nil
 	if err == nil && c.hasFaultyFraming() {
 		err = ErrFaultyFraming
 	}
@@ -280,16 +299,16 @@
 			Err:       err,
 		}
 	}
-	body := &eofReader{
+	reader := &eofReader{
 		ReadCloser: resp.Body,
 		eof:        resp.Body == http.NoBody,
 	}
-	resp.Body = body
+	resp.Body = reader
 	return &Response{
 		Response:  resp,
 		id:        r.ID,
 		reused:    !c.idleSince.IsZero(),
-		body:      body,
+		body:      reader,
 		pool:      p,
 		conn:      c,
 		addr:      r.Addr,
@@ -315,34 +334,6 @@
 	return nil, errors.New("too many interim (1xx) responses from target")
 }
 
-// encodeRequest returns the HTTP/1.1 encoding of a request.
-func encodeRequest(r Request) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.URI)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	for name, values := range r.Header {
-		for _, v := range values {
-			b.WriteString(name)
-			b.WriteString(": ")
-			b.WriteString(v)
-			b.WriteString("\r\n")
-		}
-	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
-}
-
 // get returns an idle connection to the target that may be reused, or opens a new one.
 func (p *Pool) get(ctx context.Context, r Request) (*conn, error) {
 	now := time.Now()
--- a/origin/silent.go
+++ b/origin/silent.go
@@ -69,13 +69,6 @@
 	return w
 }
 
-// write writes the request.
-func (w *watcher) write(msg []byte) error {
-	_, err := w.conn.Write(msg)
-	w.written.Store(true)
-	return err
-}
-
 // stop ends the watch. It reports whether the connection was given up.
 func (w *watcher) stop() bool {
 	w.mu.Lock()
--- a/proxy/buffer.go
+++ b/proxy/buffer.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"currantstile/memory"
 )
 
 // errResponseTooLarge is returned by writes beyond maxBufferedBody.
@@ -18,6 +20,8 @@
 	http.ResponseWriter
 	status int
 	body   bytes.Buffer
+	// held takes the bytes of body.
+	held *memory.Holder
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -30,6 +34,13 @@
 	if b.body.Len()+len(p) > maxBufferedBody {
 		return 0, errResponseTooLarge
 	}
+	if need := b.body.Len() + len(p); need > b.body.Cap() {
+		size := max(need, 2*b.body.Cap())
+		if !b.held.Set(int64(size)) {
+			return 0, memory.ErrNoRoom
+		}
+		b.body.Grow(size - b.body.Len())
+	}
 	return b.body.Write(p)
 }
 
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -235,7 +235,7 @@
 	for _, p := range x.Request.SharedParts() {
 		x.features = append(x.features, poison.PromptPart(p.ID))
 	}
-	x.features = append(x.features, poison.SameRequest(x.Request.Body, x.orgName(), x.Request.Method, x.Request.Host, x.Request.URI))
+	x.features = append(x.features, poison.SameRequest(x.held.body.bytes, x.orgName(), x.Request.Method, x.Request.Host, x.Request.URI))
 	return x.checkAgain(ctx)
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -13,6 +13,7 @@
 
 	"currantstile/call"
 	"currantstile/config"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/poison"
 	"currantstile/sched"
@@ -43,6 +44,8 @@
 	// Framing is the framing of the last target's response; zero if there was none.
 	Framing stream.Framing
 
+	// held is what the exchange holds of the memory of the instance.
+	held heldBytes
 	// waits is how the time until the last attempt was spent.
 	waits waits
 	gate  *Gate
@@ -181,7 +184,7 @@
 // mayRetry reports whether the request may be sent again. It takes a retry from
 // the retry budget if so.
 func (x *Exchange) mayRetry(ctx context.Context, place *Placement, result sendResult, executions int) bool {
-	if ctx.Err() != nil || executions >= max(x.Route.MaxTargets, 1) {
+	if ctx.Err() != nil || executions >= max(x.Route.MaxTargets, 1) || x.held.body.isDropped() {
 		return false
 	}
 	if x.interrupted && !x.mayLoseAnother(ctx, place) {
@@ -286,6 +289,7 @@
 
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
+	x.releaseHeld()
 	elapsed := time.Since(x.start)
 	line := x.gate.Log.Info()
 	if x.Request != nil {
@@ -331,13 +335,16 @@
 	x.Waited = sentAt.Sub(x.start)
 	x.Framing = 0
 	x.events.BeginRun()
+	x.beginAnswer()
 	resp, err := x.gate.Conns.Send(ctx, origin.Request{
 		ID:        x.Request.ID,
 		Addr:      p.Target.Addr,
 		Method:    x.Request.Method,
 		URI:       x.Request.URI,
 		Host:      x.Request.Host,
-		Body:      x.Request.Body,
+		Body:      x.held.body.beginSend(),
+		Written:   x.onWritten(),
+		Held:      &x.held.answer,
 		MaxIdle:   x.maxIdle(),
 		IdleShare: x.gate.Router.idleShare(x),
 		Header: x.gate.Codec.ForwardHeader(x.Request, call.ForwardOptions{
@@ -350,6 +357,7 @@
 			LastEventID:  x.resumeEventID(),
 		}),
 	})
+	x.held.body.endSend()
 	if err != nil {
 		return x.handleSendError(ctx, p, sentAt, err), nil
 	}
@@ -405,7 +413,7 @@
 	maybeSent := !errors.As(err, &e) || e.MaybeSent
 	x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Bool("sent", maybeSent).Err(err).Msg("gate: no response from target")
 	switch {
-	case ctx.Err() != nil, errors.Is(err, origin.ErrSilent):
+	case ctx.Err() != nil, errors.Is(err, origin.ErrSilent), errors.Is(err, memory.ErrNoRoom):
 		p.release(sentAt, endCancelled)
 	case maybeSent:
 		p.release(sentAt, endUnreachable)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,6 +28,7 @@
 	"currantstile/call"
 	"currantstile/config"
 	"currantstile/errs"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/poison"
 	"currantstile/socket"
@@ -99,6 +99,8 @@
 	Screen   Screen
 	Router   *Router
 	Conns    *origin.Pool
+	// Budget bounds what the requests hold together; nil is no bound.
+	Budget *memory.Budget
 	// ObserveRequest is called after each request, for metrics; it may be nil.
 	ObserveRequest func(route, org string, x *Exchange)
 	// Network is the network to listen in; nil is the operating system's.
@@ -234,6 +236,7 @@
 		caller:   r.RemoteAddr,
 		start:    now,
 	}
+	x.useBudget(g.Budget)
 	g.open.Store(x, struct{}{})
 	defer g.open.Delete(x)
 	defer x.finish()
@@ -241,6 +244,7 @@
 	if !r.ProtoAtLeast(1, 1) {
 		b := &bufferedWriter{
 			ResponseWriter: w,
+			held:           &x.held.copied,
 		}
 		x.w = b
 		x.process(now, r)
@@ -399,18 +403,12 @@
 	defer g.endWith(func() {
 		_ = rc.SetReadDeadline(time.Now())
 	})()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "body-too-large")
-	case err != nil && g.ending != nil && g.ending.Err() != nil:
-		return newRefusal(http.StatusServiceUnavailable, "instance-ends")
-	case err != nil:
-		return newRefusal(http.StatusBadRequest, "body-not-read")
+	reader := http.MaxBytesReader(x.w, r.Body, limit)
+	body, err := origin.ReadHeld(reader, r.ContentLength, limit, &x.held.body.held)
+	if errors.Is(err, memory.ErrNoRoom) {
+		x.discardBody(r, reader)
 	}
-	x.Request.Body = body
-	return nil
+	return x.holdBody(body, err)
 }
 
 // applyRateLimit charges the cost of a request to its organisation. It returns nil
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -76,12 +77,17 @@
 // relayBuffered reads a response to its end and writes it to the caller. A 5xx response
 // is not written but returned, since the request may be retried.
 func (x *Exchange) relayBuffered(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response, info call.ResponseInfo) (sendResult, *bufferedResponse) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
+	body, err, ok := x.readAnswer(resp)
+	if !ok {
+		resp.Response.Close = true
+		p.release(sentAt, endFailed)
+		return resultUnknown, nil
+	}
 	verdict := x.judgeBody(ctx, p, resp, body, err)
 	broken, isBroken := verdict.(stream.BrokenOff)
-	if isBroken || len(body) > maxBufferedBody || resp.Header.Get("Content-Encoding") != "" {
+	if isBroken || resp.Header.Get("Content-Encoding") != "" {
 		x.gate.Log.Info().Str("request", x.Request.ID).Str("target", x.Target).Str("framing", x.Framing.String()).Err(broken.Reason).
-			Msg("gate: response incomplete, too large or encoded; discarded")
+			Msg("gate: response incomplete or encoded; discarded")
 		resp.Response.Close = true
 		switch {
 		case ctx.Err() != nil || resp.WentSilent():
@@ -111,6 +117,7 @@
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		p.release(sentAt, endFailed)
+		x.held.answered = x.held.answer.Bytes()
 		return resultFailed, buffered
 	}
 	if !info.Signed {
@@ -187,6 +194,8 @@
 			lastRead = x.recordRead(time.Now(), p, sentAt, lastRead)
 		}
 		events, splitErr := x.events.Add(buf[:n])
+		noRoom := x.holdEvent()
+		splitErr = cmp.Or(splitErr, noRoom)
 		if splitErr != nil {
 			err = splitErr
 		}
@@ -220,6 +229,11 @@
 		case stream.BrokenOff:
 			resp.Response.Close = true
 			x.logBrokenStream(v.Reason)
+			if noRoom != nil {
+				// That says nothing about the target.
+				p.release(sentAt, endCancelled)
+				return x.brokenResult()
+			}
 			return x.handleBrokenStream(ctx, p, sentAt, resp)
 		}
 	}
--- a/stream/splitter.go
+++ b/stream/splitter.go
@@ -73,6 +73,11 @@
 	return blocks, nil
 }
 
+// HeldBytes returns the number of bytes that are held for the block that is not whole yet.
+func (s *Splitter) HeldBytes() int {
+	return cap(s.rest)
+}
+
 // take removes and returns the first n bytes of rest.
 func (s *Splitter) take(n int) []byte {
 	if n == 0 {
