Break off answers that are too large for a caller of HTTP/1.0

Cause: bufferedWriter refused to hold a part beyond 8 MiB, but the part before it was then sent as a whole answer with a length and status 200. Found while its bytes were put into the budget.

Change: a response of which a part could not be held is aborted, with status 0 and the reason broken-off.

--- a/proxy/buffer.go
+++ b/proxy/buffer.go
@@ -22,6 +22,9 @@
 	body   bytes.Buffer
 	// held takes the bytes of body.
 	held *memory.Holder
+	// failed is set once a part of the response could not be held: the exchange is broken off then.
+	failed   bool
+	exchange *Exchange
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -32,11 +35,13 @@
 // Write implements http.ResponseWriter.
 func (b *bufferedWriter) Write(p []byte) (int, error) {
 	if b.body.Len()+len(p) > maxBufferedBody {
+		b.failed = true
 		return 0, errResponseTooLarge
 	}
 	if need := b.body.Len() + len(p); need > b.body.Cap() {
 		size := max(need, 2*b.body.Cap())
 		if !b.held.Set(int64(size)) {
+			b.failed = true
 			return 0, memory.ErrNoRoom
 		}
 		b.body.Grow(size - b.body.Len())
@@ -54,11 +59,15 @@
 	return b.ResponseWriter
 }
 
-// close sends the response with its length.
+// close sends the response with its length, or aborts one that is not whole.
 func (b *bufferedWriter) close() {
 	if b.status == 0 {
 		return
 	}
+	if b.failed {
+		b.exchange.Reason = "broken-off"
+		b.exchange.abort()
+	}
 	b.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	b.ResponseWriter.WriteHeader(b.status)
 	// A write error means that the caller has disconnected; nothing is left to do.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -245,6 +245,7 @@
 		b := &bufferedWriter{
 			ResponseWriter: w,
 			held:           &x.held.copied,
+			exchange:       x,
 		}
 		x.w = b
 		x.process(now, r)
