Do not take the stated length of an answer without a body for its body

Cause: an answer to HEAD, or with status 304, states the length of another answer.

Change: its body counts as empty. A stream that is ended for want of room now counts as failed at its target, as a buffered answer does.

TestStatedLengthWithoutBodyIsNoBody was run before and failed; it passes.

--- a/proxy/held.go
+++ b/proxy/held.go
@@ -155,7 +155,12 @@
 // readAnswer reads the body of a response that is buffered. It reports false if the body is larger than allowed
 // or finds no room.
 func (x *Exchange) readAnswer(resp *origin.Response) (body []byte, err error, ok bool) {
-	body, err = origin.ReadHeld(resp.Body, resp.ContentLength, maxBufferedBody, &x.held.answer)
+	length := resp.ContentLength
+	if x.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified {
+		// It is that of another answer.
+		length = 0
+	}
+	body, err = origin.ReadHeld(resp.Body, length, maxBufferedBody, &x.held.answer)
 	// The events of a body are checked in a copy.
 	if err == nil && stream.IsEventStream(resp.Header, false) && !x.held.event.Set(int64(len(body))) {
 		err = memory.ErrNoRoom
--- a/proxy/held_test.go
+++ b/proxy/held_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"currantstile/call"
 	"currantstile/config"
 	"currantstile/memory"
+	"currantstile/origin"
 	"currantstile/sched"
 )
 
@@ -101,3 +103,33 @@
 	require.Positive(t, pool.Held())
 	require.LessOrEqual(t, pool.Held(), pool.Limit())
 }
+
+// Guards against taking the length that the answer to a HEAD request states, or one with status 304, for that of
+// its body, which is empty.
+func TestStatedLengthWithoutBodyIsNoBody(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		method string
+		status int
+	}{
+		{name: "HEAD", method: http.MethodHead, status: http.StatusOK},
+		{name: "not modified", method: http.MethodGet, status: http.StatusNotModified},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x, _ := heldExchange(t, 2<<20)
+			x.Request = &call.Request{
+				Method: c.method,
+			}
+			body, err, ok := x.readAnswer(&origin.Response{
+				Response: &http.Response{
+					StatusCode:    c.status,
+					ContentLength: 2 * maxBufferedBody,
+					Body:          http.NoBody,
+				},
+			})
+			require.True(t, ok)
+			require.NoError(t, err)
+			require.Empty(t, body)
+		})
+	}
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -230,8 +230,7 @@
 			resp.Response.Close = true
 			x.logBrokenStream(v.Reason)
 			if noRoom != nil {
-				// That says nothing about the target.
-				p.release(sentAt, endCancelled)
+				p.release(sentAt, endFailed)
 				return x.brokenResult()
 			}
 			return x.handleBrokenStream(ctx, p, sentAt, resp)
