--- a/cmd/currantstile/node.go
+++ b/cmd/currantstile/node.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"currantstile/logio"
+	"currantstile/memory"
 	"currantstile/model"
 	"currantstile/node"
 	"currantstile/origin"
@@ -102,11 +103,15 @@
 	conns := &origin.Pool{
 		Network: network,
 	}
+	budget := memory.NewBudget(s.MemoryBytes)
+	client := rest.NewClientIn(network, storeDialTimeout, storeIdleConns)
+	client.Answers = budget.State
 	return &node.Node{
 		Settings: s,
+		Budget:   budget,
 		KV: &platform.Store{
 			Addr: s.Store,
-			HTTP: rest.NewClientIn(network, storeDialTimeout, storeIdleConns),
+			HTTP: client,
 		},
 		Sources: platform.Sources{},
 		Codec:   platform.Codec{},
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// bodyShare and answerShare are the parts of an instance's memory that the bodies of requests and the
-	// answers may take. The rest is for all else, and for what is not collected yet.
+	// bodyShare, answerShare and stateShare are the parts of an instance's memory that the bodies of requests,
+	// the answers of targets and those of the store may take. The rest is for all else, and for what is not
+	// collected yet.
 	bodyShare   = 0.2
 	answerShare = 0.15
+	stateShare  = 0.15
 	// crowdedShare is the part of a pool from which on holders give back what they can do without.
 	crowdedShare = 0.5
 )
@@ -34,6 +36,8 @@
 type Budget struct {
 	Bodies  *Pool
 	Answers *Pool
+	// State is for the answers of the store while they are read.
+	State *Pool
 }
 
 // NewBudget returns the budget of an instance that may use so many bytes of memory.
@@ -41,6 +45,7 @@
 	return &Budget{
 		Bodies:  NewPool(int64(bodyShare * float64(memoryBytes))),
 		Answers: NewPool(int64(answerShare * float64(memoryBytes))),
+		State:   NewPool(int64(stateShare * float64(memoryBytes))),
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -154,8 +154,9 @@
 	gauge("connections_idle", float64(n.Conns.IdleConns()))
 	gauge("connections_silent", float64(n.Conns.SilentConns()))
 	for share, pool := range map[string]*memory.Pool{
-		"bodies":  n.budget.Bodies,
-		"answers": n.budget.Answers,
+		"bodies":  n.Budget.Bodies,
+		"answers": n.Budget.Answers,
+		"state":   n.Budget.State,
 	} {
 		gauge(fmt.Sprintf("memory_held_bytes{share=%q}", share), float64(pool.Held()))
 		gauge(fmt.Sprintf("memory_limit_bytes{share=%q}", share), float64(pool.Limit()))
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,8 @@
 	Codec    proxy.Codec
 	Orders   driver.Orders
 	Conns    *origin.Pool
+	// Budget bounds what is held for requests and answers; nil is one by Settings. KV has its own part of it.
+	Budget *memory.Budget
 	// Network is the network in which the instance listens and calls others; nil is the
 	// operating system's. KV and Conns have their own.
 	Network socket.Network
@@ -104,7 +106,6 @@
 	hub              *watch.Hub
 	instanceFollower *watch.Follower
 	metrics          *metrics
-	budget           *memory.Budget
 	servers          []*http.Server
 	draining         atomic.Bool
 	cancel           context.CancelFunc
@@ -140,8 +141,10 @@
 		KV:      n.KV,
 		Observe: n.metrics.recordStoreCall,
 	}
-	n.budget = memory.NewBudget(n.Settings.MemoryBytes)
-	n.Conns.Answers = n.budget.Answers
+	if n.Budget == nil {
+		n.Budget = memory.NewBudget(n.Settings.MemoryBytes)
+	}
+	n.Conns.Answers = n.Budget.Answers
 	n.buildManager()
 	n.buildFollowers()
 	n.limiter = newLimiter(n)
@@ -223,7 +226,7 @@
 		Screen:         n.screen,
 		Router:         n.router,
 		Conns:          n.Conns,
-		Budget:         n.budget,
+		Budget:         n.Budget,
 		ObserveRequest: n.metrics.recordRequest,
 		Network:        n.Network,
 		Log:            n.Log,
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -112,7 +112,7 @@
 			Reason:     reasonNoRoom,
 			RetryAfter: noRoomRetryAfter,
 		}
-	case errors.As(err, &tooLarge), errors.Is(err, origin.ErrTooLarge):
+	case errors.As(err, &tooLarge), errors.Is(err, stream.ErrTooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, "body-too-large")
 	case err != nil && x.gate.ending != nil && x.gate.ending.Err() != nil:
 		return newRefusal(http.StatusServiceUnavailable, "instance-ends")
@@ -160,12 +160,12 @@
 		// It is that of another answer.
 		length = 0
 	}
-	body, err = origin.ReadHeld(resp.Body, length, maxBufferedBody, &x.held.answer)
+	body, err = stream.ReadHeld(resp.Body, length, maxBufferedBody, &x.held.answer)
 	// The events of a body are checked in a copy.
 	if err == nil && stream.IsEventStream(resp.Header, false) && !x.held.event.Set(int64(len(body))) {
 		err = memory.ErrNoRoom
 	}
-	if errors.Is(err, memory.ErrNoRoom) || errors.Is(err, origin.ErrTooLarge) {
+	if errors.Is(err, memory.ErrNoRoom) || errors.Is(err, stream.ErrTooLarge) {
 		x.logAnswerEnded(err)
 		return nil, err, false
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -32,6 +32,7 @@
 	"currantstile/origin"
 	"currantstile/poison"
 	"currantstile/socket"
+	"currantstile/stream"
 )
 
 // Codec translates between HTTP headers and the types of package call.
@@ -405,7 +406,7 @@
 		_ = rc.SetReadDeadline(time.Now())
 	})()
 	reader := http.MaxBytesReader(x.w, r.Body, limit)
-	body, err := origin.ReadHeld(reader, r.ContentLength, limit, &x.held.body.held)
+	body, err := stream.ReadHeld(reader, r.ContentLength, limit, &x.held.body.held)
 	if errors.Is(err, memory.ErrNoRoom) {
 		x.discardBody(r, reader)
 	}
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -32,6 +32,7 @@
 	"github.com/pkg/errors"
 
 	"currantstile/errs"
+	"currantstile/memory"
 	"currantstile/socket"
 	"currantstile/stream"
 )
@@ -40,7 +41,7 @@
 const MaxResponseBytes = 16 << 20
 
 // ErrTooLarge is the cause of the error for a response body over MaxResponseBytes.
-var ErrTooLarge = errors.New("response body exceeds its size limit")
+var ErrTooLarge = stream.ErrTooLarge
 
 // idleConnTimeout is how long an idle connection is kept for reuse.
 const idleConnTimeout = 60 * time.Second
@@ -61,6 +62,9 @@
 	// that the server has closed in the meantime is not mistaken for a failed
 	// request.
 	FreshConn bool
+	// Held takes the bytes of the response, which its owner releases. Without it they are taken from
+	// Client.Answers while the response is read.
+	Held *memory.Holder
 }
 
 // SendError is the error of a request that got no complete, valid response.
@@ -93,6 +97,8 @@
 
 // Client sends HTTP requests. It is safe for concurrent use.
 type Client struct {
+	// Answers bounds the answers that are held; nil is no bound. It must be set before the first call.
+	Answers  *memory.Pool
 	pooled   *http.Client
 	unpooled *http.Client
 }
@@ -215,11 +221,13 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
-	if err == nil && len(body) > MaxResponseBytes {
-		// A truncated body must not pass for a complete one.
-		err = ErrTooLarge
+	held := r.Held
+	if held == nil {
+		own := c.Answers.Holder()
+		defer own.Release()
+		held = &own
 	}
+	body, err := stream.ReadHeld(resp.Body, resp.ContentLength, MaxResponseBytes, held)
 	if err != nil {
 		return Response{}, &SendError{
 			MaybeSent: true,
--- a/origin/held_test.go
+++ b/stream/held_test.go
@@ -1,4 +1,4 @@
-package origin_test
+package stream_test
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantstile/memory"
-	"currantstile/origin"
+	"currantstile/stream"
 )
 
 // endlessReader never ends, and counts what was read.
@@ -35,7 +35,7 @@
 		{name: "declared", size: 70000, declared: 70000, room: limit},
 		{name: "undeclared", size: 70000, declared: -1, room: limit},
 		{name: "at the limit", size: limit, declared: -1, room: 4 * limit},
-		{name: "beyond the limit", size: limit + 1, declared: -1, room: 4 * limit, err: origin.ErrTooLarge},
+		{name: "beyond the limit", size: limit + 1, declared: -1, room: 4 * limit, err: stream.ErrTooLarge},
 		{name: "no room", size: 70000, declared: -1, room: 100000, err: memory.ErrNoRoom},
 		{name: "more than declared", size: 70000, declared: 10, room: 4 * limit},
 	} {
@@ -43,7 +43,7 @@
 			pool := memory.NewPool(c.room)
 			held := pool.Holder()
 			sent := bytes.Repeat([]byte("x"), c.size)
-			body, err := origin.ReadHeld(bytes.NewReader(sent), c.declared, limit, &held)
+			body, err := stream.ReadHeld(bytes.NewReader(sent), c.declared, limit, &held)
 			require.ErrorIs(t, err, c.err)
 			require.LessOrEqual(t, held.Bytes(), c.room/2)
 			if c.err != nil {
@@ -64,19 +64,19 @@
 		read     int64
 		err      error
 	}{
-		{name: "declared beyond the limit", declared: 2 << 20, err: origin.ErrTooLarge},
+		{name: "declared beyond the limit", declared: 2 << 20, err: stream.ErrTooLarge},
 		{name: "declared beyond the room", declared: 1 << 20, err: memory.ErrNoRoom},
 		{name: "without end", declared: -1, read: 1 << 19, err: memory.ErrNoRoom},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			held := memory.NewPool(1 << 20).Holder()
 			r := &endlessReader{}
-			_, err := origin.ReadHeld(r, c.declared, 1<<20, &held)
+			_, err := stream.ReadHeld(r, c.declared, 1<<20, &held)
 			require.ErrorIs(t, err, c.err)
 			require.LessOrEqual(t, r.n, c.read)
 		})
 	}
 	var unbounded memory.Holder
-	_, err := origin.ReadHeld(io.LimitReader(&endlessReader{}, 1<<20), -1, 1<<20, &unbounded)
+	_, err := stream.ReadHeld(io.LimitReader(&endlessReader{}, 1<<20), -1, 1<<20, &unbounded)
 	require.NoError(t, err)
 }
