End bytes early that would not be relayed however they end

Cause: 8 MiB were read, and held, of a body without end although the response was unsigned, encoded, or had a status that promises what it does not say, and so was discarded in any case.

Change: no more than 64 KiB are read of such a body, which lets a connection with a usual one be used again.

--- a/proxy/held.go
+++ b/proxy/held.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"currantstile/call"
 	"currantstile/config"
 	"currantstile/memory"
 	"currantstile/origin"
@@ -17,6 +18,9 @@
 const (
 	// smallBody is the size in bytes of the largest body that is always kept until its request ends.
 	smallBody = 64 << 10
+	// maxNoAnswer is how many bytes are read of the body of a response that won't be relayed: enough for the
+	// connection to be used again after a usual one.
+	maxNoAnswer = 64 << 10
 	// noRoomRetryAfter is the retry delay for a request whose body finds no room.
 	noRoomRetryAfter = 300 * time.Millisecond
 	// reasonNoRoom is the reason of refusals of requests whose body finds no room.
@@ -152,15 +156,27 @@
 	return x.held.body.dropWritten
 }
 
+// mayBeAnswer reports whether a response may be relayed if its body is complete.
+func mayBeAnswer(resp *origin.Response, info call.ResponseInfo) bool {
+	if resp.Header.Get("Content-Encoding") != "" || promisesNotExecuted(resp.StatusCode) {
+		return false
+	}
+	return info.Signed || resp.StatusCode >= http.StatusInternalServerError
+}
+
 // readAnswer reads the body of a response that is buffered. It reports false if the body is larger than allowed
 // or finds no room.
-func (x *Exchange) readAnswer(resp *origin.Response) (body []byte, err error, ok bool) {
+func (x *Exchange) readAnswer(resp *origin.Response, info call.ResponseInfo) (body []byte, err error, ok bool) {
 	length := resp.ContentLength
 	if x.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified {
 		// It is that of another answer.
 		length = 0
 	}
-	body, err = stream.ReadHeld(resp.Body, length, maxBufferedBody, &x.held.answer)
+	limit := int64(maxBufferedBody)
+	if !mayBeAnswer(resp, info) {
+		limit = maxNoAnswer
+	}
+	body, err = stream.ReadHeld(resp.Body, length, limit, &x.held.answer)
 	// The events of a body are checked in a copy.
 	if err == nil && stream.IsEventStream(resp.Header, false) && !x.held.event.Set(int64(len(body))) {
 		err = memory.ErrNoRoom
--- a/proxy/held_test.go
+++ b/proxy/held_test.go
@@ -126,6 +126,8 @@
 					ContentLength: 2 * maxBufferedBody,
 					Body:          http.NoBody,
 				},
+			}, call.ResponseInfo{
+				Signed: true,
 			})
 			require.True(t, ok)
 			require.NoError(t, err)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -77,7 +77,7 @@
 // relayBuffered reads a response to its end and writes it to the caller. A 5xx response
 // is not written but returned, since the request may be retried.
 func (x *Exchange) relayBuffered(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response, info call.ResponseInfo) (sendResult, *bufferedResponse) {
-	body, err, ok := x.readAnswer(resp)
+	body, err, ok := x.readAnswer(resp, info)
 	if !ok {
 		resp.Response.Close = true
 		p.release(sentAt, endFailed)
