--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"currantstile/elect"
 	"currantstile/errs"
 	"currantstile/fleet"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/peer"
 	"currantstile/proxy"
@@ -75,6 +76,8 @@
 	Codec    proxy.Codec
 	Orders   driver.Orders
 	Conns    *origin.Pool
+	// Budget bounds what is held for requests and answers; nil is one by Settings. KV has its own part of it.
+	Budget *memory.Budget
 	// Network is the network in which the instance listens and calls others; nil is the
 	// operating system's. KV and Conns have their own.
 	Network socket.Network
@@ -134,6 +137,10 @@
 		KV:      n.KV,
 		Observe: n.metrics.recordStoreCall,
 	}
+	if n.Budget == nil {
+		n.Budget = memory.NewBudget(n.Settings.MemoryBytes)
+	}
+	n.Conns.Answers = n.Budget.Answers
 	n.buildManager()
 	n.buildFollowers()
 	n.limiter = newLimiter(n)
@@ -215,6 +222,7 @@
 		Screen:         n.screen,
 		Router:         n.router,
 		Conns:          n.Conns,
+		Budget:         n.Budget,
 		ObserveRequest: n.metrics.recordRequest,
 		Network:        n.Network,
 		Log:            n.Log,
--- a/origin/silent.go
+++ b/origin/silent.go
@@ -72,22 +72,19 @@
 	return w
 }
 
-// write writes the request.
-func (w *watcher) write(msg []byte) error {
-	_, err := w.conn.Write(msg)
-	w.written.Store(true)
-	return err
-}
-
-// writeTo writes the request and sends the result to done.
-func (w *watcher) writeTo(done chan<- error, msg []byte) {
+// writeTo writes the request and sends the result to done. It calls written, which may be nil, once all is
+// written.
+func (w *watcher) writeTo(done chan<- error, written func(), head, body []byte) {
 	errs.Contain(&w.pool.Log, "watcher.write", func() {
 		// It stands after a panic.
 		err := errs.New("watcher.write", "the request was not written")
 		defer func() {
 			done <- err
 		}()
-		err = w.write(msg)
+		err = w.write(head, body)
+		if err == nil && written != nil {
+			written()
+		}
 	})
 }
 
--- a/proxy/buffer.go
+++ b/proxy/buffer.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"currantstile/memory"
 )
 
 // errResponseTooLarge is returned by writes beyond maxBufferedBody.
@@ -18,8 +20,11 @@
 	http.ResponseWriter
 	status int
 	body   bytes.Buffer
-	// overflowed is set once the response did not fit.
-	overflowed bool
+	// held takes the bytes of body.
+	held *memory.Holder
+	// failed is set once a part of the response could not be held: the exchange is broken off then.
+	failed   bool
+	exchange *Exchange
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -30,9 +35,17 @@
 // Write implements http.ResponseWriter.
 func (b *bufferedWriter) Write(p []byte) (int, error) {
 	if b.body.Len()+len(p) > maxBufferedBody {
-		b.overflowed = true
+		b.failed = true
 		return 0, errResponseTooLarge
 	}
+	if need := b.body.Len() + len(p); need > b.body.Cap() {
+		size := max(need, 2*b.body.Cap())
+		if !b.held.Set(int64(size)) {
+			b.failed = true
+			return 0, memory.ErrNoRoom
+		}
+		b.body.Grow(size - b.body.Len())
+	}
 	return b.body.Write(p)
 }
 
@@ -46,15 +59,15 @@
 	return b.ResponseWriter
 }
 
-// close sends the response with its length. It panics with http.ErrAbortHandler, which closes the
-// connection, if a part of the response did not fit.
+// close sends the response with its length, or aborts one that is not whole.
 func (b *bufferedWriter) close() {
-	if b.overflowed {
-		panic(http.ErrAbortHandler)
-	}
 	if b.status == 0 {
 		return
 	}
+	if b.failed {
+		b.exchange.Reason = "broken-off"
+		b.exchange.abort()
+	}
 	b.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	b.ResponseWriter.WriteHeader(b.status)
 	// A write error means that the caller has disconnected; nothing is left to do.
--- a/proxy/buffer_test.go
+++ b/proxy/buffer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"currantstile/memory"
 )
 
 // Guards against an answer that was too large to buffer and reaches a caller of HTTP/1.0 cut off, with a
@@ -30,8 +32,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			rec := httptest.NewRecorder()
+			held := memory.NewPool(4 * maxBufferedBody).Holder()
 			b := &bufferedWriter{
 				ResponseWriter: rec,
+				held:           &held,
+				exchange:       &Exchange{},
 			}
 			piece := bytes.Repeat([]byte("x"), maxBufferedBody/2)
 			send := func() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,9 +28,11 @@
 	"currantstile/call"
 	"currantstile/config"
 	"currantstile/errs"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/poison"
 	"currantstile/socket"
+	"currantstile/stream"
 )
 
 // Codec translates between HTTP headers and the types of package call.
@@ -99,6 +100,8 @@
 	Screen   Screen
 	Router   *Router
 	Conns    *origin.Pool
+	// Budget bounds what the requests hold together; nil is no bound.
+	Budget *memory.Budget
 	// ObserveRequest is called after each request, for metrics; it may be nil.
 	ObserveRequest func(route, org string, x *Exchange)
 	// Network is the network to listen in; nil is the operating system's.
@@ -274,6 +277,7 @@
 		caller:   r.RemoteAddr,
 		start:    now,
 	}
+	x.useBudget(g.Budget)
 	g.open.Store(x, struct{}{})
 	defer g.open.Delete(x)
 	defer x.recoverAfterAnswer()
@@ -281,6 +285,8 @@
 	if !r.ProtoAtLeast(1, 1) {
 		b := &bufferedWriter{
 			ResponseWriter: w,
+			held:           &x.held.copied,
+			exchange:       x,
 		}
 		x.w = b
 		x.process(now, r)
@@ -444,18 +450,14 @@
 	defer g.endWith(func() {
 		_ = rc.SetReadDeadline(time.Now())
 	})()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "body-too-large")
-	case err != nil && g.ending != nil && g.ending.Err() != nil:
-		return newRefusal(http.StatusServiceUnavailable, "instance-ends")
-	case err != nil:
-		return newRefusal(http.StatusBadRequest, "body-not-read")
-	}
-	x.Request.Body, x.bodyUnread = body, false
-	return nil
+	reader := http.MaxBytesReader(x.w, r.Body, limit)
+	body, err := stream.ReadHeld(reader, r.ContentLength, limit, &x.held.body.held)
+	if errors.Is(err, memory.ErrNoRoom) {
+		x.discardBody(r, reader)
+	}
+	refusal := x.holdBody(body, err)
+	x.bodyUnread = refusal != nil
+	return refusal
 }
 
 // applyRateLimit charges the cost of a request to its organisation. It returns nil
