An absence of a holder is counted anew after its return

Cause: reclaimable cleared the time of an absence only on an instance that may write the membership record. While the absent instance is the one whose name sorts first, the next one maintains the record; when the first returns, nobody clears that time, and its next absence counts on from the first one: it is removed at once, while it may use its share for 14 s more. What an instance saw while it was not up to date counted as well.

Change: each step notes who is absent, and only while the instance is up to date.

TestEvenAllocatorAbsentTwice was run before the change and failed (1,500,000 of 1,000,000 millionths in use); after it, go test ./broker passes.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -164,6 +164,7 @@
 	current := e.Current(now)
 	alive := e.Alive()
 	e.mu.Lock()
+	e.noteAbsent(now, current, alive)
 	if current {
 		e.confirmedAt = now
 		e.Ledger.ExtendExpiry(now, now.Add(EvenShareTTL))
@@ -212,7 +213,7 @@
 	}
 	var next []string
 	for _, name := range e.record.Instances {
-		if !e.reclaimable(now, name, alive) || !maintainer {
+		if !e.reclaimable(now, name) || !maintainer {
 			next = append(next, name)
 		}
 	}
@@ -253,19 +254,27 @@
 	return !slices.Contains(e.record.Instances, e.Self) && age >= 2*joinDelay
 }
 
+// noteAbsent records since when instances in the record are not alive. What this instance knows while it is
+// not up to date is no evidence of an absence. The caller holds mu.
+func (e *EvenAllocator) noteAbsent(now time.Time, current bool, alive map[string]netip.AddrPort) {
+	next := make(map[string]time.Time)
+	for _, name := range e.record.Instances {
+		if _, ok := alive[name]; ok || !current {
+			continue
+		}
+		next[name] = now
+		if since, ok := e.absentSince[name]; ok {
+			next[name] = since
+		}
+	}
+	e.absentSince = next
+}
+
 // reclaimable reports whether an instance has been absent for so long that it no longer
 // uses its share. The caller holds mu.
-func (e *EvenAllocator) reclaimable(now time.Time, name string, alive map[string]netip.AddrPort) bool {
-	if _, ok := alive[name]; ok {
-		delete(e.absentSince, name)
-		return false
-	}
+func (e *EvenAllocator) reclaimable(now time.Time, name string) bool {
 	since, ok := e.absentSince[name]
-	if !ok {
-		e.absentSince[name] = now
-		return false
-	}
-	return now.Sub(since) >= EvenReclaimDelay
+	return ok && now.Sub(since) >= EvenReclaimDelay
 }
 
 // UsableShare returns the share of every limit that this instance may use now without
--- a/broker/even_allocator_test.go
+++ b/broker/even_allocator_test.go
@@ -146,6 +146,22 @@
 	require.Equal(t, int64(quota.TotalWeight/2), f.allocators["a"].UsableShare(f.now))
 }
 
+// Guards against an absence that is counted on from an earlier one: an instance that was away and came back
+// keeps its share when it is away again.
+func TestEvenAllocatorAbsentTwice(t *testing.T) {
+	f := newEvenFleet(t, "a", "b")
+	f.advance(3 * time.Second)
+	addr := f.alive["a"]
+	delete(f.alive, "a")
+	f.advance(time.Second)
+	f.alive["a"] = addr
+	f.advance(EvenReclaimDelay)
+	f.isolated["a"] = true
+	delete(f.alive, "a")
+	f.advance(EvenReclaimDelay + time.Second)
+	require.Equal(t, int64(quota.TotalWeight), f.allocators["b"].UsableShare(f.now))
+}
+
 // Guards against shares too small for a request in a large fleet: at most maxEvenHolders
 // instances hold shares of a contract, and shares of different contracts are held by
 // different instances.
