An instance that joins has its share when every holder applies the record

Cause: a new holder used its share 2 s after it read the membership record that lists it, whether or not the earlier holders had read it; one that is cut off from the store goes on with its old, larger share for EvenShareTTL (14 s). A process that started after its instance had been added to the record by another took itself for a replacement and did not even wait those 2 s. And an instance whose entry had expired went on extending its share while others kept it up to date, though it was about to be removed.

Change: the record lists joining instances as pending. The maintainer, or after 1.2 s the pending instance, asks the holders which record they apply (Peer.Record), with the record from the second question on; the record gives them their shares when all apply one that lists them, or after 16 s (EvenShareTTL and 2 s, configuration_apply_ms, in which a holder in touch reads a record). So a share grows only by a record, and a restart under the same name needs no wait. The record holds up to 32 addresses, since the entry of a holder that is cut off expires and it may know no other. A holder that isn't up to date takes tokens from those too. An instance that waits is ready if it can take tokens from another holder. A share that had expired is used again after 2 s.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -15,6 +15,7 @@
 	"currantstile/quota"
 	"currantstile/route"
 	"currantstile/store"
+	"currantstile/wire"
 )
 
 const (
@@ -22,14 +23,18 @@
 	// contract; all others take tokens from these. It is small because a share of the
 	// burst must be large enough for a request.
 	maxEvenHolders = 7
+	// maxRecordAddrs is the maximum number of addresses in the membership record. In a larger fleet an
+	// instance that is cut off knows others that it can ask.
+	maxRecordAddrs = 32
 	// evenStepInterval is the interval between checks of the membership record.
 	evenStepInterval = 250 * time.Millisecond
 	// joinDelay is how long the maintainer of the record runs before it writes, so
 	// that it knows the other instances. Any other instance waits twice as long to be
 	// added by the maintainer before it writes the record itself.
 	joinDelay = 1200 * time.Millisecond
-	// activationDelay is how long a new holder leaves its share unused while the
-	// others read the new record and reduce theirs.
+	// activationDelay is the time in which the holders that are in touch with the store read a new
+	// record: a new holder of a record without pending instances, and one whose share had
+	// expired, leave their share unused for it.
 	activationDelay = 2 * time.Second
 	// EvenShareTTL is how long a holder uses its share after it last knew the record
 	// to be up to date: longer than the store outages that the design covers.
@@ -43,6 +48,13 @@
 type membershipRecord struct {
 	Version   uint64   `json:"version"`
 	Instances []string `json:"instances"`
+	// Pending lists the instances that may not use their share yet, since an earlier holder may
+	// still use a part of it.
+	Pending []string `json:"pending,omitempty"`
+	// Settles is set in records that have Pending; earlier programs write none.
+	Settles bool `json:"settles,omitempty"`
+	// Addrs are the addresses of the instances. The entry of one that is cut off expires.
+	Addrs map[string]netip.AddrPort `json:"addrs,omitempty"`
 }
 
 // EvenAllocator divides the limits equally among the instances in a membership record
@@ -59,29 +71,39 @@
 	Alive func() map[string]netip.AddrPort
 	// Current reports whether the local copy of the record is up to date.
 	Current func(now time.Time) bool
-	Log     log.Logger
+	// Ask asks another instance which record it applies.
+	Ask func(ctx context.Context, addr netip.AddrPort, args wire.ShareRecordArgs) (wire.ShareRecordReply, error)
+	Log log.Logger
 
 	mu        sync.Mutex
 	startedAt time.Time
 	record    membershipRecord
 	revision  store.Revision
+	// value is the encoded record.
+	value []byte
 	// recordKnown is set once it is known whether a record exists.
 	recordKnown bool
 	// usableFrom is the time from which the share may be used, and confirmedAt the
 	// time at which the record was last known to be up to date.
 	usableFrom  time.Time
 	confirmedAt time.Time
+	// current is set if this instance was up to date at the last step.
+	current bool
 	// shareActive is set while the share that is applied to the ledger may be used.
 	shareActive bool
 	// absentSince is when each instance in the record was first seen not to be alive.
 	absentSince map[string]time.Time
+	// joining holds the pending instances, acknowledged the revisions that others are known to
+	// apply, and askedFor those for which they were asked last.
+	joining      map[string]joining
+	acknowledged map[string]store.Revision
+	askedFor     map[string]store.Revision
 }
 
 // Run maintains the share and the membership record until ctx ends.
 func (e *EvenAllocator) Run(ctx context.Context) {
 	e.mu.Lock()
-	e.startedAt = time.Now()
-	e.absentSince = make(map[string]time.Time)
+	e.start(time.Now())
 	e.mu.Unlock()
 	for {
 		e.step(ctx, time.Now())
@@ -91,6 +113,14 @@
 	}
 }
 
+// start sets the state of a process that starts. The caller holds mu.
+func (e *EvenAllocator) start(now time.Time) {
+	e.startedAt = now
+	e.absentSince = make(map[string]time.Time)
+	e.acknowledged = make(map[string]store.Revision)
+	e.askedFor = make(map[string]store.Revision)
+}
+
 // MarkListed records that all keys have been read: unless Apply was called before, no
 // membership record exists.
 func (e *EvenAllocator) MarkListed() {
@@ -112,20 +142,22 @@
 		e.Log.Error().Err(err).Msg("share: cannot decode membership record; keeping the last one")
 		return
 	}
-	e.applyRecord(now, r, entry.Revision)
+	e.applyRecord(now, r, entry)
 }
 
 // applyRecord makes r the current record. The caller holds mu.
-func (e *EvenAllocator) applyRecord(now time.Time, r membershipRecord, rev store.Revision) {
+func (e *EvenAllocator) applyRecord(now time.Time, r membershipRecord, entry store.Entry) {
 	wasListed := slices.Contains(e.record.Instances, e.Self)
 	listed := slices.Contains(r.Instances, e.Self)
-	if listed && !wasListed && e.recordKnown && r.Version > 1 {
+	if listed && !wasListed && e.recordKnown && r.Version > 1 && !r.Settles {
 		e.usableFrom = now.Add(activationDelay)
 	}
 	e.record = r
-	e.revision = rev
+	e.revision = entry.Revision
+	e.value = entry.Value
 	e.recordKnown = true
-	e.Log.Info().Uint64("version", r.Version).Int("instances", len(r.Instances)).Bool("listed", listed).Msg("share: membership record applied; shares recomputed")
+	e.noteJoining(now)
+	e.Log.Info().Uint64("version", r.Version).Int("instances", len(r.Instances)).Int("pending", len(r.Pending)).Bool("listed", listed).Msg("share: membership record applied; shares recomputed")
 	e.applyShares(now)
 }
 
@@ -143,7 +175,7 @@
 
 // applyShares sets the ledger's shares from the record. The caller holds mu.
 func (e *EvenAllocator) applyShares(now time.Time) {
-	r, usable := e.record, slices.Contains(e.record.Instances, e.Self) && !now.Before(e.usableFrom)
+	r, usable := e.record, e.record.mayUse(e.Self) && !now.Before(e.usableFrom)
 	e.shareActive = usable
 	largest := int64(0)
 	if usable {
@@ -164,18 +196,27 @@
 	current := e.Current(now)
 	alive := e.Alive()
 	e.mu.Lock()
+	e.current = current
 	e.noteAbsent(now, current, alive)
-	if current {
-		e.confirmedAt = now
-		e.Ledger.ExtendExpiry(now, now.Add(EvenShareTTL))
+	if _, listed := alive[e.Self]; current && listed {
+		e.confirm(now)
 	}
-	if !e.shareActive && !now.Before(e.usableFrom) && slices.Contains(e.record.Instances, e.Self) {
+	if !e.shareActive && !now.Before(e.usableFrom) && e.record.mayUse(e.Self) {
 		e.applyShares(now)
 	}
+	questions := e.questions(now, alive)
+	e.mu.Unlock()
+	if !current {
+		return
+	}
+	if len(questions) > 0 {
+		e.ask(ctx, questions)
+	}
+	e.mu.Lock()
 	next, ok := e.planRecord(now, alive)
 	expect := e.revision
 	e.mu.Unlock()
-	if !ok || !current {
+	if !ok {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -196,39 +237,72 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if rev > e.revision {
-		e.applyRecord(now, next, rev)
+		e.applyRecord(now, next, store.Entry{
+			Key:      e.RecordKey,
+			Value:    value,
+			Revision: rev,
+		})
 	}
 }
 
+// confirm extends the share's validity. One that had expired is usable later: this instance may be about
+// to be removed from the record. The caller holds mu.
+func (e *EvenAllocator) confirm(now time.Time) {
+	if !e.confirmedAt.IsZero() && now.Sub(e.confirmedAt) >= EvenShareTTL {
+		e.usableFrom = now.Add(activationDelay)
+		e.applyShares(now)
+	}
+	e.confirmedAt = now
+	e.Ledger.ExtendExpiry(now, now.Add(EvenShareTTL))
+}
+
 // planRecord returns the next record that this instance should write, or false if there
-// is none. The next record adds all live instances; only the maintainer removes absent
-// ones. The caller holds mu.
+// is none. The next record adds all live instances, and gives shares to those that may hold
+// them; only the maintainer removes absent ones. The caller holds mu.
 func (e *EvenAllocator) planRecord(now time.Time, alive map[string]netip.AddrPort) (membershipRecord, bool) {
 	if !e.recordKnown || alive[e.Self] == (netip.AddrPort{}) {
 		return membershipRecord{}, false
 	}
 	maintainer := e.isMaintainer(alive)
-	if !e.mayWrite(now, maintainer) {
+	if !e.mayWrite(now, maintainer) && !e.settles(now, maintainer) {
 		return membershipRecord{}, false
 	}
-	var next []string
+	var next, pending []string
 	for _, name := range e.record.Instances {
 		if !e.reclaimable(now, name) || !maintainer {
 			next = append(next, name)
+			if j, ok := e.joining[name]; ok && !mayHold(now, j, e.otherHolders(), e.acknowledged) {
+				pending = append(pending, name)
+			}
 		}
 	}
 	for name := range alive {
 		if !slices.Contains(next, name) {
 			next = append(next, name)
+			if e.record.Version > 0 {
+				pending = append(pending, name)
+			}
 		}
 	}
 	slices.Sort(next)
-	if slices.Equal(next, e.record.Instances) {
+	slices.Sort(pending)
+	if slices.Equal(next, e.record.Instances) && slices.Equal(pending, e.record.Pending) {
 		return membershipRecord{}, false
 	}
+	addrs := make(map[string]netip.AddrPort, len(next))
+	for _, name := range next[:min(len(next), maxRecordAddrs)] {
+		if addr, ok := alive[name]; ok {
+			addrs[name] = addr
+		} else if addr, ok := e.record.Addrs[name]; ok {
+			addrs[name] = addr
+		}
+	}
 	return membershipRecord{
 		Version:   e.record.Version + 1,
 		Instances: next,
+		Pending:   pending,
+		Settles:   true,
+		Addrs:     addrs,
 	}, true
 }
 
@@ -292,15 +366,19 @@
 }
 
 // Holders returns the addresses, by name, of the other live instances that hold shares
-// of a contract.
+// of a contract. An instance that is not up to date may know of some by the record alone.
 func (e *EvenAllocator) Holders(org model.OrgID) map[string]netip.AddrPort {
 	alive := e.Alive()
 	e.mu.Lock()
-	r := e.record
+	r, current := e.record, e.current
 	e.mu.Unlock()
 	list := make(map[string]netip.AddrPort)
 	for _, name := range shareHolders(r, org) {
-		if addr, ok := alive[name]; ok && name != e.Self {
+		addr, ok := alive[name]
+		if !ok && !current {
+			addr, ok = r.Addrs[name]
+		}
+		if ok && name != e.Self && (r.mayUse(name) || !current) {
 			list[name] = addr
 		}
 	}
--- a/broker/even_allocator_test.go
+++ b/broker/even_allocator_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +18,7 @@
 	"currantstile/memkv"
 	"currantstile/model"
 	"currantstile/quota"
+	"currantstile/wire"
 )
 
 var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -27,6 +32,14 @@
 	now        time.Time
 	// isolated holds the instances that cannot reach the store.
 	isolated map[string]bool
+	// silent holds the instances that can reach no other instance.
+	silent map[string]bool
+	// rng decides the order of the instances in each step; nil for that of their names.
+	rng *rand.Rand
+	// late holds for how many steps more instances don't read the record.
+	late map[string]int
+	// numbers holds the instances' numbers in their addresses.
+	numbers map[string]int
 	// partialHolders is set if each contract is held by only some of the instances, so that
 	// the sum of their shares may exceed the total.
 	partialHolders bool
@@ -40,6 +53,9 @@
 		alive:      make(map[string]netip.AddrPort),
 		now:        testStart,
 		isolated:   make(map[string]bool),
+		silent:     make(map[string]bool),
+		late:       make(map[string]int),
+		numbers:    make(map[string]int),
 	}
 	for _, n := range names {
 		f.start(n)
@@ -63,23 +79,54 @@
 		Log: log.Logger{
 			Level: log.PanicLevel,
 		},
-		startedAt:   f.now,
-		absentSince: make(map[string]time.Time),
+		Ask: f.ask(name),
 	}
+	e.start(f.now)
 	f.allocators[name] = e
-	f.alive[name] = netip.MustParseAddrPort("10.0.0.1:1")
+	f.alive[name] = f.addr(name)
 	if entry, err := f.kv.Get(context.Background(), "roll"); err == nil {
 		e.Apply(f.now, entry)
 	}
 	e.MarkListed()
 }
 
+// ask returns the calls of an instance, which reach all that are not silent.
+func (f *evenFleet) ask(from string) func(context.Context, netip.AddrPort, wire.ShareRecordArgs) (wire.ShareRecordReply, error) {
+	return func(_ context.Context, addr netip.AddrPort, args wire.ShareRecordArgs) (wire.ShareRecordReply, error) {
+		for name, e := range f.allocators {
+			if f.addr(name) == addr && !f.silent[name] && !f.silent[from] {
+				return e.Acknowledge(f.now, args), nil
+			}
+		}
+		return wire.ShareRecordReply{}, errors.New("no answer")
+	}
+}
+
+// addr returns the address of an instance.
+func (f *evenFleet) addr(name string) netip.AddrPort {
+	i, ok := f.numbers[name]
+	if !ok {
+		i = len(f.numbers) + 1
+		f.numbers[name] = i
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+}
+
 // advance steps all instances until d has passed, and checks after each step that the
 // usable shares do not exceed the total.
 func (f *evenFleet) advance(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(evenStepInterval) {
-		for name, e := range f.allocators {
-			if entry, err := f.kv.Get(context.Background(), "roll"); err == nil && !f.isolated[name] {
+		names := slices.Sorted(maps.Keys(f.allocators))
+		if f.rng != nil {
+			f.rng.Shuffle(len(names), func(i, j int) {
+				names[i], names[j] = names[j], names[i]
+			})
+		}
+		for _, name := range names {
+			e := f.allocators[name]
+			if f.late[name] > 0 {
+				f.late[name]--
+			} else if entry, err := f.kv.Get(context.Background(), "roll"); err == nil && !f.isolated[name] {
 				e.Apply(f.now, entry)
 			}
 			e.step(context.Background(), f.now)
@@ -87,9 +134,23 @@
 		if !f.partialHolders {
 			require.LessOrEqual(f.t, f.usableSum(), int64(quota.TotalWeight), "at %s", f.now.Sub(testStart))
 		}
+		for _, org := range []model.OrgID{"x", "y", "z"} {
+			require.LessOrEqual(f.t, f.usableSumOf(org), int64(quota.TotalWeight), "of %s at %s", org, f.now.Sub(testStart))
+		}
 	}
 }
 
+// usableSumOf returns the sum of the usable shares of one contract.
+func (f *evenFleet) usableSumOf(org model.OrgID) int64 {
+	sum := int64(0)
+	for name, e := range f.allocators {
+		if holders := shareHolders(e.record, org); e.UsableShare(f.now) > 0 && slices.Contains(holders, name) {
+			sum += quota.TotalWeight / int64(len(holders))
+		}
+	}
+	return sum
+}
+
 func (f *evenFleet) usableSum() int64 {
 	sum := int64(0)
 	for _, e := range f.allocators {
@@ -146,6 +207,66 @@
 	require.Equal(t, int64(quota.TotalWeight/2), f.allocators["a"].UsableShare(f.now))
 }
 
+// Guards against two shares of one limit: an instance that joins while a holder is cut off from the
+// store and the others waits for as long as that one uses its old share.
+func TestEvenAllocatorJoinBesideIsolatedHolder(t *testing.T) {
+	f := newEvenFleet(t, "a")
+	f.advance(3 * time.Second)
+	f.isolated["a"], f.silent["a"] = true, true
+	delete(f.alive, "a")
+	f.start("b")
+	f.start("c")
+	f.advance(EvenReclaimDelay)
+	require.NotZero(t, f.allocators["b"].UsableShare(f.now))
+}
+
+// Guards against an instance cut off from the store that shrinks its share and can't take tokens of
+// those for which it did so.
+func TestEvenAllocatorJoinBesideHolderWithoutStore(t *testing.T) {
+	f := newEvenFleet(t, "a")
+	f.advance(3 * time.Second)
+	f.isolated["a"] = true
+	own := map[string]netip.AddrPort{
+		"a": f.addr("a"),
+	}
+	f.allocators["a"].Alive = func() map[string]netip.AddrPort {
+		return own
+	}
+	f.start("b")
+	f.advance(4 * joinDelay)
+	require.Equal(t, int64(quota.TotalWeight/2), f.allocators["a"].UsableShare(f.now))
+	require.Equal(t, int64(quota.TotalWeight/2), f.allocators["b"].UsableShare(f.now))
+	require.Contains(t, f.allocators["a"].Holders("x"), "b")
+}
+
+// Guards against two shares of one limit: an instance whose entry has expired is about to be removed from
+// the record, though others keep it up to date.
+func TestEvenAllocatorUnlistedInstance(t *testing.T) {
+	f := newEvenFleet(t, "a", "b")
+	f.advance(3 * time.Second)
+	delete(f.alive, "b")
+	f.advance(EvenShareTTL + evenStepInterval)
+	require.Zero(t, f.allocators["b"].UsableShare(f.now))
+	f.alive["b"] = f.addr("b")
+	f.advance(evenStepInterval)
+	require.Zero(t, f.allocators["b"].UsableShare(f.now), "used while the others may be about to remove it")
+	f.advance(activationDelay)
+	require.Equal(t, int64(quota.TotalWeight/2), f.allocators["b"].UsableShare(f.now))
+}
+
+// Guards against two shares of one limit: a process that starts after another has added its instance
+// to the record is no process that replaces one.
+func TestEvenAllocatorJoinAddedByOthers(t *testing.T) {
+	f := newEvenFleet(t, "a", "b")
+	f.advance(3 * time.Second)
+	f.isolated["b"], f.silent["b"] = true, true
+	delete(f.alive, "b")
+	f.alive["c"] = f.addr("c")
+	f.advance(time.Second)
+	f.start("c")
+	f.advance(EvenReclaimDelay)
+}
+
 // Guards against an absence that is counted on from an earlier one: an instance that was away and came back
 // keeps its share when it is away again.
 func TestEvenAllocatorAbsentTwice(t *testing.T) {
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -65,6 +65,11 @@
 		Current: func(now time.Time) bool {
 			return n.hub.Current(now) || n.instanceFollower.ListedWithin(now, maxListingAge)
 		},
+		Ask: func(ctx context.Context, addr netip.AddrPort, args wire.ShareRecordArgs) (wire.ShareRecordReply, error) {
+			var reply wire.ShareRecordReply
+			err := n.pool.Call(ctx, addr, wire.MethodShareRecord, args, &reply)
+			return reply, err
+		},
 		Log: n.Log,
 	}
 	l.acquirer = &broker.TokenAcquirer{
@@ -139,7 +144,7 @@
 	for _, o := range cfg.Organisations {
 		limited = limited || o.Rate > 0
 	}
-	return !limited || l.allocator.UsableShare(now) > 0
+	return !limited || l.allocator.UsableShare(now) > 0 || l.allocator.CanTake()
 }
 
 // Admit implements proxy.Limiter. If enough tokens are expected within maxWait, it
@@ -206,6 +211,13 @@
 	return nil
 }
 
+// Record serves wire.MethodShareRecord.
+func (s *LimitService) Record(args wire.ShareRecordArgs, reply *wire.ShareRecordReply) (err error) {
+	defer errs.Recover("LimitService.Record", &err)
+	*reply = s.limiter.allocator.Acknowledge(time.Now(), args)
+	return nil
+}
+
 // Return serves wire.MethodReturnTokens.
 func (s *LimitService) Return(args wire.ReturnTokensArgs, _ *wire.Empty) (err error) {
 	defer errs.Recover("LimitService.Return", &err)
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -3,6 +3,7 @@
 import (
 	"currantstile/model"
 	"currantstile/quota"
+	"currantstile/store"
 )
 
 // BorrowArgs requests from another holder of a share a loan of a part of an
@@ -65,3 +66,17 @@
 	Organisation model.OrgID
 	Tokens       int64
 }
+
+// ShareRecordArgs asks an instance which membership record it applies. A record that is sent with the
+// question is applied if it is newer.
+type ShareRecordArgs struct {
+	Revision store.Revision
+	Record   []byte
+}
+
+// ShareRecordReply names the instance, and the revision of the membership record that it applies; it uses no
+// share of an earlier one.
+type ShareRecordReply struct {
+	Name     string
+	Revision store.Revision
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -33,6 +33,7 @@
 	MethodConfig        = "Peer.Config"
 	MethodAcquireTokens = "Peer.Take"
 	MethodReturnTokens  = "Peer.Return"
+	MethodShareRecord   = "Peer.Record"
 )
 
 // AcquireResult is the result of a request for a pin.
