--- a/drill/draw.go
+++ b/drill/draw.go
@@ -65,6 +65,7 @@
 	d.drawSilence(rand.New(rand.NewPCG(o.Seed, 0x51e)))
 	d.drawLimits(rand.New(rand.NewPCG(o.Seed, 0x11a)))
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
+	d.drawJoins(rand.New(rand.NewPCG(o.Seed, 0x101)))
 	d.sort()
 	return d
 }
--- a/drill/fault.go
+++ b/drill/fault.go
@@ -26,7 +26,7 @@
 var faultKinds []faultKind
 
 func init() {
-	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes(), operatorFaults(), limitFaults(), silenceFaults())
+	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes(), operatorFaults(), limitFaults(), silenceFaults(), joinFaults())
 }
 
 func faultNamed(name string) (faultKind, bool) {
--- a/drill/play.go
+++ b/drill/play.go
@@ -287,7 +287,7 @@
 			callers: netip.AddrPortFrom(addr, callerPort),
 		}
 		p.instances = append(p.instances, m)
-		if !p.startInstance(ctx, m) {
+		if !p.startFirst(ctx, m) {
 			return false
 		}
 	}
@@ -302,7 +302,7 @@
 
 func (p *player) allReady() bool {
 	managed := 0
-	for _, m := range p.instances {
+	for _, m := range p.firstInstances() {
 		if m.node == nil {
 			return false
 		}
