A share that is set again keeps its tokens

Cause: Ledger.SetBaseShares set all weights to zero before the new ones, which empties all buckets, and the emptied accounts were discarded. The record that gives joining instances their shares is written beside the one that lists them, so that this would happen twice.

Change: weights are set directly, as SetBaseShare does: what exceeds the new capacity is dropped, nothing is gained, and an expired share begins anew. Idle accounts are discarded only without a share. A record that changes nothing for an instance sets no shares.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -152,13 +152,16 @@
 	if listed && !wasListed && e.recordKnown && r.Version > 1 && !r.Settles {
 		e.usableFrom = now.Add(activationDelay)
 	}
+	same := slices.Equal(r.Instances, e.record.Instances) && r.mayUse(e.Self) == e.record.mayUse(e.Self)
 	e.record = r
 	e.revision = entry.Revision
 	e.value = entry.Value
 	e.recordKnown = true
 	e.noteJoining(now)
 	e.Log.Info().Uint64("version", r.Version).Int("instances", len(r.Instances)).Int("pending", len(r.Pending)).Bool("listed", listed).Msg("share: membership record applied; shares recomputed")
-	e.applyShares(now)
+	if !same {
+		e.applyShares(now)
+	}
 }
 
 // shareHolders returns the instances of a record that hold shares of a contract.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -73,14 +73,18 @@
 	now time.Time, largest int64, weightByOrg func(model.OrgID) int64, expiresAt time.Time,
 ) {
 	old := l.base.Load()
-	l.applyBaseShare(now, old.expiresAt, &baseShare{})
-	l.base.Store(&baseShare{
+	if !now.Before(old.expiresAt) {
+		// The accounts must process the expiry before a later one is set.
+		l.applyBaseShare(now, old.expiresAt, &baseShare{})
+	}
+	next := &baseShare{
 		weight:      largest,
 		weightByOrg: weightByOrg,
 		grownAt:     now,
 		expiresAt:   expiresAt,
-	})
-	l.applyBaseShare(now, old.expiresAt, l.base.Load())
+	}
+	l.base.Store(next)
+	l.applyBaseShare(now, old.expiresAt, next)
 }
 
 // ExtendExpiry sets the time until which the shares are usable. Shares that have expired
@@ -130,14 +134,15 @@
 }
 
 // applyBaseShare brings all accounts forward to now, with the given expiry of their current
-// base shares, and then sets the base shares from b. Idle accounts are discarded.
+// base shares, and then sets the base shares from b. Idle accounts without a share are discarded; others
+// hold tokens that a new one would not have.
 func (l *Ledger) applyBaseShare(now, expiresAt time.Time, b *baseShare) {
 	l.accounts.Each(func(m map[model.OrgID]*account) {
 		for org, a := range m {
 			a.advance(now, expiresAt)
 			a.base = b.weightOf(org)
 			a.updateWeight()
-			if a.idle(now) {
+			if a.base == 0 && a.idle(now) {
 				delete(m, org)
 			}
 		}
