--- a/drill/draw.go
+++ b/drill/draw.go
@@ -66,6 +66,7 @@
 	d.drawLimits(rand.New(rand.NewPCG(o.Seed, 0x11a)))
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
 	d.drawIdle(rand.New(rand.NewPCG(o.Seed, 0x1d7e)))
+	d.drawJoins(rand.New(rand.NewPCG(o.Seed, 0x101)))
 	d.sort()
 	return d
 }
