Entries deleted after an outage of the store keep their targets no longer than their drain time

Cause: any entry that was deleted within 3 s of the end of an outage as the instance noticed it, up to 2.3 s after the store's return, was taken for one that expired in the outage, and its target got requests for 2.5 s more. What was known of it was not looked at: whether its target had reached the store again, and how long ago the store had returned.

A deletion carries the revision of its key's last write; if that is later than the first revision known after the outage, the target leaves.

--- a/node/node.go
+++ b/node/node.go
@@ -52,12 +52,6 @@
 	// shutdownMargin is the part of the grace period that remains when running
 	// requests are ended.
 	shutdownMargin = 700 * time.Millisecond
-	// removalGrace is how long a target is kept after its entry was deleted around
-	// a store outage, so that it can write the entry again.
-	removalGrace = 2500 * time.Millisecond
-	// outageWindow is how long after a store outage a deleted entry is attributed
-	// to the outage.
-	outageWindow = 3 * time.Second
 	// maintenanceInterval is the interval of the steps of maintain.
 	maintenanceInterval = 250 * time.Millisecond
 	// storeLogInterval is how often the total numbers of store calls are logged.
--- a/node/sources.go
+++ b/node/sources.go
@@ -115,7 +115,11 @@
 			continue
 		}
 		if c.Entry.Deleted {
-			n.handleDeletedTarget(now, t.ID)
+			n.handleDeletedTarget(t.ID, deletion{
+				seen:     now,
+				renewed:  c.Renewed,
+				returned: n.hub.LastOutage(),
+			})
 			continue
 		}
 		n.removalMu.Lock()
@@ -130,23 +134,22 @@
 	n.registry.Publish()
 }
 
-// handleDeletedTarget handles the deletion of a target's entry. Around a store
-// outage the entry may have expired while the target is alive, so the removal is
-// delayed.
-func (n *Node) handleDeletedTarget(now time.Time, id string) {
-	if now.Sub(n.hub.LastOutage()) < outageWindow {
-		n.Log.Info().Str("target", id).Msg("node: target entry expired around a store outage; waiting for its return")
+// handleDeletedTarget removes a target whose entry was deleted, or waits for the entry if it may have
+// expired while the store was away.
+func (n *Node) handleDeletedTarget(id string, d deletion) {
+	if at := removalTime(d); at.After(d.seen) {
+		n.Log.Info().Str("target", id).Dur("wait", at.Sub(d.seen)).Dur("since-return", d.seen.Sub(d.returned)).
+			Msg("node: target entry expired around a store outage; waiting for its return")
 		n.removalMu.Lock()
-		n.pendingRemovals[id] = now.Add(removalGrace)
+		n.pendingRemovals[id] = at
 		n.removalMu.Unlock()
 		return
 	}
-	n.Log.Info().Str("target", id).Msg("node: target is gone")
+	n.Log.Info().Str("target", id).Bool("renewed", d.renewed).Msg("node: target is gone")
 	n.registry.RemoveTarget(id)
 }
 
-// removeExpired removes the targets whose entries have not come back within
-// removalGrace.
+// removeExpired removes the targets whose entries have not come back in time.
 func (n *Node) removeExpired(now time.Time) {
 	n.removalMu.Lock()
 	defer n.removalMu.Unlock()
--- a/store/store.go
+++ b/store/store.go
@@ -37,6 +37,8 @@
 	Revision Revision `json:"revision"`
 	// Deleted marks a deletion in a batch returned by Watch.
 	Deleted bool `json:"deleted,omitempty"`
+	// Written is the revision of a deleted key's last write; zero if it is not known.
+	Written Revision `json:"written,omitempty"`
 }
 
 // Entries is a list of entries.
--- a/watch/view.go
+++ b/watch/view.go
@@ -227,6 +227,8 @@
 			continue
 		}
 		if e.Deleted {
+			// Instances that are told of changes only do not know all writes.
+			e.Written = max(e.Written, old.Revision)
 			delete(v.entries, e.Key)
 		} else {
 			v.entries[e.Key] = e
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -43,6 +43,9 @@
 // Change describes a key that was written or deleted.
 type Change struct {
 	Entry store.Entry
+	// Renewed is set for a deletion if the key was written after the store's return from its
+	// last outage.
+	Renewed bool
 }
 
 // Follower follows one prefix. Its exported fields must be set before Hub.Run.
@@ -78,6 +81,10 @@
 
 	mu   sync.Mutex
 	view view
+	// heardAt is when the prefix was last known up to date, and returned the revision that was
+	// known first after the last outage.
+	heardAt  time.Time
+	returned store.Revision
 }
 
 // Listed reports whether all keys of the prefix are known up to some revision.
@@ -177,13 +184,28 @@
 func (f *Follower) update(entries store.Entries, upTo store.Revision, listed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	changes, update := f.known().read(entries, upTo, listed)
-	f.applyChanges(time.Now(), changes)
+	f.describe(now, upTo, changes)
+	f.applyChanges(now, changes)
 	if update != nil && f.hub != nil {
 		f.hub.enqueue(*update)
 	}
 }
 
+// describe records that the prefix is known up to a revision, and adds to its changes what is known of
+// them. The caller must hold mu.
+func (f *Follower) describe(now time.Time, upTo store.Revision, changes []Change) {
+	if f.hub != nil && f.hub.LastOutage().After(f.heardAt) {
+		f.returned = upTo
+	}
+	for i := range changes {
+		c := &changes[i]
+		c.Renewed = c.Entry.Deleted && c.Entry.Written > f.returned
+	}
+	f.heardAt = now
+}
+
 // known returns the view. The caller must hold mu.
 func (f *Follower) known() *view {
 	f.view.prefix, f.view.same = f.Prefix, f.Same
@@ -222,7 +244,12 @@
 func (f *Follower) receive(now time.Time, p PrefixUpdate, sources ...string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.known().revision
 	changes, ok := f.known().receive(now, p, sources...)
+	// A position that is known already does not show when the sender read it.
+	if f.view.revision > before {
+		f.describe(now, f.view.revision, changes)
+	}
 	f.applyChanges(now, changes)
 	return ok
 }
