--- a/drill/draw.go
+++ b/drill/draw.go
@@ -64,6 +64,7 @@
 	d.drawChanges(rand.New(rand.NewPCG(o.Seed, 0xc4a)))
 	d.drawSilence(rand.New(rand.NewPCG(o.Seed, 0x51e)))
 	d.drawLimits(rand.New(rand.NewPCG(o.Seed, 0x11a)))
+	d.drawLeaves(rand.New(rand.NewPCG(o.Seed, 0x1ea)))
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
 	d.sort()
 	return d
--- a/drill/play.go
+++ b/drill/play.go
@@ -176,7 +176,7 @@
 // Bounds returns the bounds of the rules for the deployment of a day.
 func Bounds() judge.Bounds {
 	return judge.Bounds{
-		StableWindow:   3 * time.Second,
+		StableWindow:   stableWindow,
 		DrainTimeout:   2 * time.Second,
 		ApplyTimeout:   2 * time.Second,
 		MaxStretch:     5 * time.Second,
