Judge: a request that reaches a target after it has left is late whenever its caller sent it

Change: an arrival after the bound breaks the rule too, for targets that leave and for data centres that are closed, unless the target was cut off from the instances within the stable window before. What was judged is still judged.

--- a/drill/session.go
+++ b/drill/session.go
@@ -92,6 +92,7 @@
 		ID:           a.ID,
 		Target:       x.name,
 		Instance:     s.instance,
+		HeldUp:       x.place.heldUp(now),
 		Service:      x.place.service,
 		Organisation: a.Organisation,
 		Credentials:  a.Credentials,
--- a/drill/target.go
+++ b/drill/target.go
@@ -50,6 +50,15 @@
 	// run is the process that is there; nil if none is. runs counts them.
 	run  *process
 	runs int
+	// darkUntil is when the place was last cut off from the instances.
+	darkUntil time.Time
+}
+
+// heldUp reports whether a request may have arrived late since the place was cut off.
+func (pl *place) heldUp(now time.Time) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return now.Sub(pl.darkUntil) < stableWindow
 }
 
 // process is one run of a target.
--- a/drill/targetfault.go
+++ b/drill/targetfault.go
@@ -104,7 +104,11 @@
 
 // darkenTarget cuts a target off from all instances, or only its answers.
 func (p *player) darkenTarget(f Fault, _ *rand.Rand) {
-	addr := p.places[f.Who%len(p.places)].addr.Addr()
+	pl := p.places[f.Who%len(p.places)]
+	addr := pl.addr.Addr()
+	pl.mu.Lock()
+	pl.darkUntil = later(pl.darkUntil, time.Now().Add(f.For))
+	pl.mu.Unlock()
 	for _, m := range p.instances {
 		p.faults.Go(func() {
 			p.cut(addr, m.addr, f.For, f.How == "one-way")
@@ -112,6 +116,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // changeTarget changes a target for a time.
 func (p *player) changeTarget(f Fault, begin, end func(*process)) {
 	x := p.process(f)
--- a/judge/fleet.go
+++ b/judge/fleet.go
@@ -119,7 +119,8 @@
 	}
 	x.each(func(r *request) {
 		for _, a := range r.arrivals {
-			if !concerns(a) || r.first().At() < c.At()+bound || c.Until > 0 && a.At() > c.Until || !x.isSound(a.Instance, c.At(), a.At()) {
+			late := r.first().At() >= c.At()+bound || a.At() >= c.At()+bound && !a.HeldUp
+			if !concerns(a) || !late || c.Until > 0 && a.At() > c.Until || !x.isSound(a.Instance, c.At(), a.At()) {
 				continue
 			}
 			if !slices.ContainsFunc(r.runs, func(run Ran) bool { return run.Target == a.Target }) {
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -149,6 +149,8 @@
 	LastEvent int
 	// Cold is set while the target bears few requests.
 	Cold bool
+	// HeldUp is set if the target was cut off from the instances shortly before.
+	HeldUp bool
 }
 
 // Ran means that a target has begun to work on a request that arrived.
