Copies of a request take turns while ends of targets may have been forgotten

Cause: reports of ended targets and blocks that wait for the store are lost with their instances. Copies of the request that then come to several instances within 0.2 s are each sent before the first end is known.

Change: while a target's start shows that it may be back from an end before or soon after the start of an instance (poison.MayHaveForgotten), equal requests are sent one at a time over all instances, through one holder or its deputy (poison.Copies, Router.AskCopy), until one has been answered.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,8 @@
 package fleet
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"sort"
 	"sync"
@@ -117,6 +119,11 @@
 	return len(v.targets)
 }
 
+// Targets returns all targets, in no order.
+func (v *View) Targets() iter.Seq[*Target] {
+	return maps.Values(v.targets)
+}
+
 // Instances returns the instances sorted by name.
 func (v *View) Instances() []Instance {
 	return v.instances
--- a/node/node.go
+++ b/node/node.go
@@ -236,6 +236,7 @@
 			},
 			wire.ServicePoison: &PoisonService{
 				ledger: n.screen.ledger,
+				copies: &n.screen.copies,
 			},
 		},
 	}
--- a/node/screen.go
+++ b/node/screen.go
@@ -52,6 +52,7 @@
 	node   *Node
 	ledger *poison.Ledger
 	turns  poison.Turns
+	copies copies
 	// writes are the pending writes; each is repeated until it reports that it is done.
 	writes chan func(context.Context) bool
 	// decidedAt is when all instances were last asked. Only run uses it.
@@ -71,6 +72,9 @@
 func newScreen(n *Node) *screen {
 	return &screen{
 		node: n,
+		copies: copies{
+			turns: make(map[poison.Feature]poison.Turn),
+		},
 		ledger: &poison.Ledger{
 			Self:    n.Settings.Name,
 			Started: n.started,
@@ -105,6 +109,8 @@
 			}
 		}
 		return d
+	case poison.Allowed:
+		return s.checkCopy(ctx, now, id, features)
 	default:
 		return d
 	}
@@ -170,6 +176,7 @@
 // RecordAnswered implements proxy.Screen. An answer to a request with a blocked feature
 // clears the feature.
 func (s *screen) RecordAnswered(now, sentAt time.Time, id string, features []poison.Feature) {
+	s.endCopy(now, id, features, true)
 	for _, f := range s.ledger.RecordAnswered(now, sentAt, features) {
 		s.node.Log.Info().Str("request", id).Str("feature", string(f)).Msg("poison: answer to a request with a blocked feature; clearing the feature")
 		s.ledger.ApplyBlock(now, f, nil)
@@ -290,6 +297,7 @@
 func (s *screen) run(ctx context.Context) {
 	for clock.Sleep(ctx, screenInterval) {
 		now := time.Now()
+		s.updateForgotten(now)
 		for _, u := range s.ledger.Undecided() {
 			s.node.Log.Info().Str("feature", string(u.Feature)).Int("targets", u.Targets).Str("reason", u.Reason).Msg("poison: no decision about a feature")
 		}
@@ -439,6 +447,7 @@
 // requires.
 type PoisonService struct {
 	ledger *poison.Ledger
+	copies *copies
 }
 
 // Answers serves wire.MethodLastAnswers.
--- /dev/null
+++ b/poison/copies_test.go
@@ -0,0 +1,68 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantstile/poison"
+)
+
+// Guards against copies of a request that crashes targets, at six instances within 0.2 s, that are all sent before the
+// first end is known.
+func TestCopiesAreSentOneAtATime(t *testing.T) {
+	same := poison.SameRequest(nil, "x")
+	var c poison.Copies
+	sent := 0
+	for i := range 6 {
+		if c.Take(at(time.Duration(i)*30*time.Millisecond), same, fmt.Sprint(i)) == 0 {
+			sent++
+		}
+	}
+	require.Equal(t, 1, sent)
+	require.Equal(t, 500*time.Millisecond, c.Take(at(1500*time.Millisecond), same, "1"))
+	require.Zero(t, c.Take(at(1900*time.Millisecond), same, "0"), "the first one renews its turn")
+	require.Positive(t, c.Take(at(3800*time.Millisecond), same, "1"))
+	require.Zero(t, c.Take(at(3900*time.Millisecond), same, "1"))
+	require.Zero(t, c.Take(at(3900*time.Millisecond), poison.SameRequest(nil, "y"), "z"), "another request")
+
+	c.Release(at(4*time.Second), same, "2")
+	require.Positive(t, c.Take(at(4*time.Second), same, "2"), "not its turn")
+	c.Release(at(4*time.Second), same, "1")
+	require.Zero(t, c.Take(at(4*time.Second), same, "2"))
+	c.RecordAnswered(at(5*time.Second), same)
+	for i := range 6 {
+		require.Zero(t, c.Take(at(6*time.Second), same, fmt.Sprint(i)), "answered")
+	}
+	require.Zero(t, c.Take(at(7*time.Second), same, "3"))
+	require.Positive(t, c.Take(at(7*time.Second), same, "4"))
+}
+
+// Guards against turns in a fleet that has had no ends, and against none after a restart.
+func TestMayHaveForgotten(t *testing.T) {
+	times := func(seconds ...int) []time.Time {
+		var list []time.Time
+		for _, s := range seconds {
+			list = append(list, at(time.Duration(s)*time.Second))
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name               string
+		now                int
+		instances, targets []time.Time
+		want               bool
+	}{
+		{"nothing listed", 100, nil, nil, true},
+		{"all started together", 10, times(5, 5), times(0, 1, 2), false},
+		{"a target is back before a restart", 120, times(100, 101), times(0, 95), true},
+		{"a target is back after a restart", 120, times(100, 101), times(0, 110), true},
+		{"one of the instances was restarted", 120, times(0, 101), times(0, 95), true},
+		{"a target is back long after a restart", 220, times(100, 101), times(0, 200), false},
+		{"long ago", 1000, times(999), times(0, 100), false},
+	} {
+		require.Equal(t, c.want, poison.MayHaveForgotten(at(time.Duration(c.now)*time.Second), c.instances, c.targets), c.name)
+	}
+}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -226,6 +226,13 @@
 	}
 }
 
+// recordUnsent records that the request was refused without being executed.
+func (x *Exchange) recordUnsent() {
+	if x.gate.Screen != nil && x.Status == http.StatusServiceUnavailable && !x.maybeExecuted && len(x.features) > 0 {
+		x.gate.Screen.RecordUnsent(time.Now(), x.Request.ID, x.features)
+	}
+}
+
 // checkFeatures returns a refusal if the request has a feature that crashes targets. It may
 // make the request the trial of that feature.
 func (x *Exchange) checkFeatures(ctx context.Context) *Refusal {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -286,6 +286,7 @@
 
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
+	x.recordUnsent()
 	elapsed := time.Since(x.start)
 	line := x.gate.Log.Info()
 	if x.Request != nil {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -67,6 +67,25 @@
 	return reply.Granted
 }
 
+// AskCopy asks the instance that decides about copies of a request; own answers if it is this one.
+func (r *Router) AskCopy(ctx context.Context, args wire.CopyArgs, own func(wire.CopyArgs) wire.CopyReply) wire.CopyReply {
+	r.init()
+	var reply wire.CopyReply
+	r.askHolder(ctx, r.Registry.View(), string(args.Feature), func(isOwn bool, ask func(method string, args, reply any) error) error {
+		if isOwn {
+			reply = own(args)
+			return nil
+		}
+		var answer wire.CopyReply
+		err := ask(wire.MethodCopy, args, &answer)
+		if err == nil {
+			reply = answer
+		}
+		return err
+	})
+	return reply
+}
+
 // askHolder lets the instance that grants the tokens of a name be asked, or its deputy while that does not
 // respond: request is called with own if it is this instance, and returns the error of ask otherwise.
 func (r *Router) askHolder(ctx context.Context, view *fleet.View, name string, request func(own bool, ask func(method string, args, reply any) error) error) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -82,6 +82,8 @@
 	// RecordEnded records targets whose process ended, with the requests whose answer was at
 	// its start.
 	RecordEnded(now time.Time, ended []poison.Ended)
+	// RecordUnsent records that a request with the given ID was refused that no target has executed.
+	RecordUnsent(now time.Time, id string, features []poison.Feature)
 }
 
 // Gate is the HTTP server for callers. Its exported fields must be set before
--- a/wire/repeat.go
+++ b/wire/repeat.go
@@ -4,7 +4,7 @@
 // recognises the second one.
 func IsRepeatable(method string) bool {
 	switch method {
-	case MethodRequestAdmission, MethodReportProgress, MethodPing, MethodTakeToken, MethodPush, MethodChanges, MethodLastAnswers,
+	case MethodRequestAdmission, MethodReportProgress, MethodPing, MethodTakeToken, MethodPush, MethodChanges, MethodLastAnswers, MethodCopy,
 		MethodStatus, MethodConfig, MethodHolds:
 		return true
 	default:
