--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -252,6 +252,9 @@
 	if x.gate.Screen == nil || x.trial {
 		return nil
 	}
+	// A copy of another request may have to wait.
+	ctx, cancel := context.WithDeadline(ctx, x.callerDeadline().Add(-responseMargin))
+	defer cancel()
 	switch d := x.gate.Screen.Check(ctx, time.Now(), x.Request.ID, x.features).(type) {
 	case poison.Blocked:
 		x.blockedBy = d.Feature
