Copies under suspicion take turns over all instances

Change: such copies take the turns of poison.Copies at any time, whatever is known of the targets' starts.

--- a/node/copies.go
+++ b/node/copies.go
@@ -54,20 +54,22 @@
 	return s.node.Settings.Name + "/" + id
 }
 
-// checkCopy lets a request wait while a copy of it has its turn. It returns Blocked if that takes too long.
-func (s *screen) checkCopy(ctx context.Context, now time.Time, id string, features []poison.Feature) poison.Decision {
+// checkCopy lets a request wait while a copy of it has its turn, if decision says that it may be sent. It returns
+// Blocked if that takes too long.
+func (s *screen) checkCopy(ctx context.Context, now time.Time, id string, features []poison.Feature, decision poison.Decision) poison.Decision {
 	f, ok := poison.Repeated(features)
-	if !ok || s.copies.known.Load() {
-		return poison.Allowed{}
+	_, suspected := decision.(poison.Suspected)
+	if !ok || !suspected && s.copies.known.Load() {
+		return decision
 	}
-	if poison.AnsweredLately(s.ledger.LastAnswers(now, []poison.Feature{f})[0]) {
-		return poison.Allowed{}
+	if !suspected && poison.AnsweredLately(s.ledger.LastAnswers(now, []poison.Feature{f})[0]) {
+		return decision
 	}
 	s.copies.mu.Lock()
 	held := s.copies.turns[f].Holds(now, id)
 	s.copies.mu.Unlock()
 	if held {
-		return poison.Allowed{}
+		return decision
 	}
 	for start := now; ; now = time.Now() {
 		wait := s.node.router.AskCopy(ctx, wire.CopyArgs{
@@ -79,7 +81,7 @@
 			if waited := now.Sub(start); waited > 0 {
 				s.node.Log.Info().Str("request", id).Str("feature", string(f)).Dur("waited", waited).Msg("poison: copy of a request sent after another one")
 			}
-			return poison.Allowed{}
+			return decision
 		}
 		if now.Sub(start) >= poison.CopyPatience || !clock.Sleep(ctx, min(wait, copyPoll)) {
 			s.node.Log.Info().Str("request", id).Str("feature", string(f)).Msg("poison: copy of a request not sent while another one has no answer")
@@ -89,7 +91,11 @@
 			}
 		}
 		// Targets may have ended under the other copy.
-		if d := s.ledger.Check(time.Now(), features); d != (poison.Allowed{}) {
+		switch d := s.ledger.Check(time.Now(), features).(type) {
+		case poison.Allowed:
+		case poison.Suspected:
+			decision = d
+		default:
 			return s.Check(ctx, time.Now(), id, features)
 		}
 	}
--- a/node/screen.go
+++ b/node/screen.go
@@ -108,9 +108,9 @@
 				RetryAfter: wait,
 			}
 		}
-		return d
+		return s.checkCopy(ctx, now, id, features, d)
 	case poison.Allowed:
-		return s.checkCopy(ctx, now, id, features)
+		return s.checkCopy(ctx, now, id, features, d)
 	default:
 		return d
 	}
