--- a/drill/draw.go
+++ b/drill/draw.go
@@ -65,6 +65,7 @@
 	d.drawSilence(rand.New(rand.NewPCG(o.Seed, 0x51e)))
 	d.drawLimits(rand.New(rand.NewPCG(o.Seed, 0x11a)))
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
+	d.drawForgetting(rand.New(rand.NewPCG(o.Seed, 0xf09)))
 	d.sort()
 	return d
 }
