--- a/broker/settle.go
+++ b/broker/settle.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"currantstile/errs"
 	"currantstile/model"
 	"currantstile/store"
 	"currantstile/wire"
@@ -130,22 +131,29 @@
 	var wg sync.WaitGroup
 	for _, q := range list {
 		wg.Go(func() {
-			reply, err := e.Ask(ctx, q.addr, q.args)
-			if err != nil {
-				e.Log.Debug().Err(err).Str("holder", q.name).Msg("share: holder did not say which record it applies; asking again")
-				return
-			}
-			if reply.Name != q.name {
-				return
-			}
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.acknowledged[q.name] = max(e.acknowledged[q.name], reply.Revision)
+			errs.Contain(&e.Log, "EvenAllocator.ask", func() {
+				e.askHolder(ctx, q)
+			})
 		})
 	}
 	wg.Wait()
 }
 
+// askHolder asks one instance and records its answer.
+func (e *EvenAllocator) askHolder(ctx context.Context, q question) {
+	reply, err := e.Ask(ctx, q.addr, q.args)
+	if err != nil {
+		e.Log.Debug().Err(err).Str("holder", q.name).Msg("share: holder did not say which record it applies; asking again")
+		return
+	}
+	if reply.Name != q.name {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.acknowledged[q.name] = max(e.acknowledged[q.name], reply.Revision)
+}
+
 // Acknowledge applies the record that comes with a question, and says which record this instance applies.
 func (e *EvenAllocator) Acknowledge(now time.Time, args wire.ShareRecordArgs) wire.ShareRecordReply {
 	if len(args.Record) > 0 {
--- a/drill/draw.go
+++ b/drill/draw.go
@@ -68,6 +68,7 @@
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
 	d.drawIdle(rand.New(rand.NewPCG(o.Seed, 0x1d7e)))
 	d.drawJoins(rand.New(rand.NewPCG(o.Seed, 0x101)))
+	d.drawForgetting(rand.New(rand.NewPCG(o.Seed, 0xf09)))
 	d.sort()
 	return d
 }
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// recordUnsent records that the request was refused without being executed.
+func (x *Exchange) recordUnsent() {
+	if x.gate.Screen != nil && x.Status == http.StatusServiceUnavailable && !x.maybeExecuted && len(x.features) > 0 {
+		x.gate.Screen.RecordUnsent(time.Now(), x.Request.ID, x.features)
+	}
+}
+
 // checkFeatures returns a refusal if the request has a feature that crashes targets. It may
 // make the request the trial of that feature.
 func (x *Exchange) checkFeatures(ctx context.Context) *Refusal {
@@ -250,6 +257,9 @@
 	if x.gate.Screen == nil || x.trial {
 		return nil
 	}
+	// A copy of another request may have to wait.
+	ctx, cancel := context.WithDeadline(ctx, x.callerDeadline().Add(-responseMargin))
+	defer cancel()
 	switch d := x.gate.Screen.Check(ctx, time.Now(), x.Request.ID, x.features).(type) {
 	case poison.Blocked:
 		x.blockedBy = d.Feature
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -300,6 +300,7 @@
 // finish logs the request and reports it to Gate.ObserveRequest.
 func (x *Exchange) finish() {
 	x.releaseHeld()
+	x.recordUnsent()
 	elapsed := time.Since(x.start)
 	line := x.gate.Log.Info()
 	if x.Request != nil {
