--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -282,23 +282,28 @@
 	if slices.Equal(next, e.record.Instances) && slices.Equal(pending, e.record.Pending) {
 		return membershipRecord{}, false
 	}
-	addrs := make(map[string]netip.AddrPort, len(next))
-	for _, name := range next[:min(len(next), maxRecordAddrs)] {
-		if addr, ok := alive[name]; ok {
-			addrs[name] = addr
-		} else if addr, ok := e.record.Addrs[name]; ok {
-			addrs[name] = addr
-		}
-	}
 	return membershipRecord{
 		Version:   e.record.Version + 1,
 		Instances: next,
 		Pending:   pending,
 		Settles:   true,
-		Addrs:     addrs,
+		Addrs:     e.recordAddrs(next, alive),
 	}, true
 }
 
+// recordAddrs returns the known addresses of the first of some instances. The caller holds mu.
+func (e *EvenAllocator) recordAddrs(names []string, alive map[string]netip.AddrPort) map[string]netip.AddrPort {
+	addrs := make(map[string]netip.AddrPort, len(names))
+	for _, name := range names[:min(len(names), maxRecordAddrs)] {
+		if addr, ok := alive[name]; ok {
+			addrs[name] = addr
+		} else if addr, ok := e.record.Addrs[name]; ok {
+			addrs[name] = addr
+		}
+	}
+	return addrs
+}
+
 // isMaintainer reports whether this instance maintains the record: it is the live
 // instance whose name sorts first.
 func (e *EvenAllocator) isMaintainer(alive map[string]netip.AddrPort) bool {
--- a/node/copies.go
+++ b/node/copies.go
@@ -102,7 +102,7 @@
 }
 
 // endCopy tells that a copy was answered, or not sent.
-func (s *screen) endCopy(now time.Time, id string, features []poison.Feature, answered bool) {
+func (s *screen) endCopy(id string, features []poison.Feature, answered bool) {
 	f, ok := poison.Repeated(features)
 	if !ok || !s.copies.drop(f, id) {
 		return
@@ -121,8 +121,8 @@
 }
 
 // RecordUnsent implements proxy.Screen.
-func (s *screen) RecordUnsent(now time.Time, id string, features []poison.Feature) {
-	s.endCopy(now, id, features, false)
+func (s *screen) RecordUnsent(_ time.Time, id string, features []poison.Feature) {
+	s.endCopy(id, features, false)
 }
 
 // take records a turn of a copy at this instance.
--- a/node/screen.go
+++ b/node/screen.go
@@ -176,7 +176,7 @@
 // RecordAnswered implements proxy.Screen. An answer to a request with a blocked feature
 // clears the feature.
 func (s *screen) RecordAnswered(now, sentAt time.Time, id string, features []poison.Feature) {
-	s.endCopy(now, id, features, true)
+	s.endCopy(id, features, true)
 	for _, f := range s.ledger.RecordAnswered(now, sentAt, features) {
 		s.node.Log.Info().Str("request", id).Str("feature", string(f)).Msg("poison: answer to a request with a blocked feature; clearing the feature")
 		s.ledger.ApplyBlock(now, f, nil)
@@ -284,7 +284,10 @@
 		case write := <-s.writes:
 			// A write that panics is given up.
 			errs.Contain(&s.node.Log, "screen.runWrites", func() {
-				for !write(ctx) && clock.Sleep(ctx, writeRetryDelay) {
+				for !write(ctx) {
+					if !clock.Sleep(ctx, writeRetryDelay) {
+						return
+					}
 				}
 			})
 		case <-ctx.Done():
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -166,7 +166,7 @@
 
 // readAnswer reads the body of a response that is buffered. It reports false if the body is larger than allowed
 // or finds no room.
-func (x *Exchange) readAnswer(resp *origin.Response, info call.ResponseInfo) (body []byte, err error, ok bool) {
+func (x *Exchange) readAnswer(resp *origin.Response, info call.ResponseInfo) (body []byte, ok bool, err error) {
 	length := resp.ContentLength
 	if x.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified {
 		// It is that of another answer.
@@ -183,9 +183,9 @@
 	}
 	if errors.Is(err, memory.ErrNoRoom) || errors.Is(err, stream.ErrTooLarge) {
 		x.logAnswerEnded(err)
-		return nil, err, false
+		return nil, false, err
 	}
-	return body, err, true
+	return body, true, err
 }
 
 // holdEvent takes the room for the event of a stream that is not whole yet.
--- a/proxy/held_test.go
+++ b/proxy/held_test.go
@@ -120,7 +120,7 @@
 			x.Request = &call.Request{
 				Method: c.method,
 			}
-			body, err, ok := x.readAnswer(&origin.Response{
+			body, ok, err := x.readAnswer(&origin.Response{
 				Response: &http.Response{
 					StatusCode:    c.status,
 					ContentLength: 2 * maxBufferedBody,
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -8,7 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"currantstile/call"
+	"currantstile/memory"
 	"currantstile/origin"
 	"currantstile/sched"
 	"currantstile/stream"
@@ -77,7 +80,7 @@
 // relayBuffered reads a response to its end and writes it to the caller. A 5xx response
 // is not written but returned, since the request may be retried.
 func (x *Exchange) relayBuffered(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response, info call.ResponseInfo) (sendResult, *bufferedResponse) {
-	body, err, ok := x.readAnswer(resp, info)
+	body, ok, err := x.readAnswer(resp, info)
 	if !ok {
 		resp.Response.Close = true
 		p.release(sentAt, endFailed)
@@ -193,9 +196,7 @@
 		if n > 0 {
 			lastRead = x.recordRead(time.Now(), p, sentAt, lastRead)
 		}
-		events, splitErr := x.events.Add(buf[:n])
-		noRoom := x.holdEvent()
-		splitErr = cmp.Or(splitErr, noRoom)
+		events, splitErr := x.addPart(buf[:n])
 		if splitErr != nil {
 			err = splitErr
 		}
@@ -227,17 +228,19 @@
 			x.Reason = "answered"
 			return resultDone
 		case stream.BrokenOff:
-			resp.Response.Close = true
 			x.logBrokenStream(v.Reason)
-			if noRoom != nil {
-				p.release(sentAt, endFailed)
-				return x.brokenResult()
-			}
-			return x.handleBrokenStream(ctx, p, sentAt, resp)
+			return x.handleBrokenStream(ctx, p, sentAt, resp, splitErr)
 		}
 	}
 }
 
+// addPart adds a part of a stream and returns the events that it completes.
+func (x *Exchange) addPart(part []byte) ([]byte, error) {
+	events, err := x.events.Add(part)
+	noRoom := x.holdEvent()
+	return events, cmp.Or(noRoom, err)
+}
+
 // acceptsHead reports whether the body of a response can be the stream, or go on with it. If not, it
 // lets the connection be closed.
 func (x *Exchange) acceptsHead(resp *origin.Response) bool {
@@ -282,7 +285,13 @@
 
 // handleBrokenStream releases the placement of a stream that ended early and returns
 // whether its head was already written to the caller.
-func (x *Exchange) handleBrokenStream(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response) sendResult {
+// splitErr is the error of the splitter or of the room for an event, if one of them ended the stream.
+func (x *Exchange) handleBrokenStream(ctx context.Context, p *Placement, sentAt time.Time, resp *origin.Response, splitErr error) sendResult {
+	resp.Response.Close = true
+	if errors.Is(splitErr, memory.ErrNoRoom) {
+		p.release(sentAt, endFailed)
+		return x.brokenResult()
+	}
 	silent := resp.WentSilent()
 	if silent {
 		x.gate.Log.Warn().Str("request", x.Request.ID).Str("target", x.Target).Msg("gate: connection to target was silent; given up")
