--- a/review/rig2/leaving_test.go
+++ b/review/rig2/leaving_test.go
@@ -29,7 +29,7 @@
 )
 
 func init() {
-	cases["7"] = playLeaving
+	cases["8"] = playLeaving
 }
 
 // closingWorker is a worker of the model service whose answers have neither a length nor chunks: each ends with its
