A response with a blank in the name of a field is no answer

Callers saw: a 200 of a target in trouble with a line such as "X Extra: 1" passed on, or, if the line was "Content-Length : 15" or " Transfer-Encoding: chunked", with bytes behind the body or the chunks themselves as the body.

Cause: net/http accepts blanks in the name of a field (go.dev/issue/34540) and does not take such a name for the field that it resembles; it appends a line that begins with a blank to the value before. It rejects all other bytes that a name must not hold, control bytes included.

Change: stream.HeadCheck follows the bytes of a head. origin and rest end a response with such a line with ErrFieldName: the request may have run.

--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -85,6 +85,22 @@
 		pkg:  "socket",
 		test: "TestResetReportedToWriteIsReportedToReads",
 	},
+	{
+		rule: "MIXED: names of fields",
+		file: "origin/origin.go",
+		old:  "err = c.head.Err()",
+		new:  "err = nil",
+		pkg:  "origin",
+		test: "TestBlankInFieldNameIsAnError",
+	},
+	{
+		rule: "MIXED: names of fields, services",
+		file: "rest/rest.go",
+		old:  "return c.headErr()",
+		new:  "return nil",
+		pkg:  "engine",
+		test: "TestBlankInFieldNameIsUnknown",
+	},
 	{
 		rule: "MIXED: promises of targets",
 		file: "proxy/relay.go",
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -35,6 +35,7 @@
 
 	"currantstile/memory"
 	"currantstile/socket"
+	"currantstile/stream"
 )
 
 const (
@@ -143,6 +144,8 @@
 	// headLeft is how many bytes may still be read for a head; negative while a body is
 	// read, which is passed on or bounded by its reader.
 	headLeft int
+	// head checks the head.
+	head stream.HeadCheck
 	// held takes the bytes of the head.
 	held *memory.Holder
 	// oldHead is the head that is being read, as long as it may be one in HTTP/1.0.
@@ -176,6 +179,7 @@
 	}
 	if c.headLeft > 0 {
 		c.headLeft -= n
+		c.head.Add(b[:n])
 		c.keepOldHead(b[:n])
 		if !c.held.Grow(int64(n)) {
 			return n, memory.ErrNoRoom
@@ -278,9 +282,13 @@
 	req := &http.Request{
 		Method: r.Method,
 	}
+	c.head.Reset()
 	c.headLeft, c.oldHead, c.mayBeOld, c.held = maxHeadBytes, c.oldHead[:0], true, r.Held
 	resp, err := readResponse(c.br, req)
 	c.headLeft, c.held = -1, nil
+	if err == nil {
+		err = c.head.Err()
+	}
 	if err == nil && c.hasFaultyFraming() {
 		err = ErrFaultyFraming
 	}
--- a/origin/status_test.go
+++ b/origin/status_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"currantstile/origin"
+	"currantstile/stream"
 )
 
 // Guards against a response with an impossible status that is taken for an answer, or for an interim one that is waited on until the
@@ -28,11 +30,7 @@
 				_ = c.SetReadDeadline(time.Now().Add(patience))
 				_, _ = br.ReadByte()
 			})
-			_, err := sendAndRead(&origin.Pool{}, addr)
-			require.ErrorIs(t, err, origin.ErrStatus)
-			var sendErr *origin.SendError
-			require.ErrorAs(t, err, &sendErr)
-			require.True(t, sendErr.MaybeSent)
+			requireHeadError(t, addr, origin.ErrStatus)
 		})
 	}
 }
@@ -60,3 +58,31 @@
 	_, err = sendAndRead(&origin.Pool{}, startServer(t, serve(1000)))
 	require.Error(t, err)
 }
+
+// Guards against a response with a blank in the name of a field that is taken for an answer.
+func TestBlankInFieldNameIsAnError(t *testing.T) {
+	for _, field := range []string{"Content-Length : 2", " Content-Length: 2", "X Extra: 1\r\nContent-Length: 2"} {
+		t.Run(field, func(t *testing.T) {
+			requireHeadError(t, startServer(t, respondLast("HTTP/1.1 200 OK\r\nX-Other: 1\r\n"+field+"\r\n\r\nok")), stream.ErrFieldName)
+		})
+	}
+}
+
+// respondLast writes a raw response to the first request of a connection and closes it.
+func respondLast(response string) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		if _, err := readRequest(br); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	}
+}
+
+// requireHeadError sends a request, and requires that it fails with an error and may have run.
+func requireHeadError(t *testing.T, addr netip.AddrPort, target error) {
+	_, err := sendAndRead(&origin.Pool{}, addr)
+	require.ErrorIs(t, err, target)
+	var sendErr *origin.SendError
+	require.ErrorAs(t, err, &sendErr)
+	require.True(t, sendErr.MaybeSent)
+}
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -26,6 +26,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -129,10 +130,16 @@
 		if err != nil {
 			return nil, err
 		}
-		return socket.Or(n).Dial(ctx, addr, socket.Options{
+		c, err := socket.Or(n).Dial(ctx, addr, socket.Options{
 			Timeout:       dialTimeout,
 			ProbeInterval: probeInterval,
 		})
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{
+			Conn: c,
+		}, nil
 	}
 	return &http.Client{
 		Transport: &http.Transport{
@@ -148,6 +155,37 @@
 	}
 }
 
+// checkedConn is a connection that checks the heads of responses.
+type checkedConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head stream.HeadCheck
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Add(b[:n])
+	return n, err
+}
+
+// beginHead prepares the connection for the response to the next request.
+func (c *checkedConn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Reset()
+}
+
+// headErr returns what is wrong with the head that was read, or nil.
+func (c *checkedConn) headErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Err()
+}
+
 // nonRewindableBody hides the type of the reader, so that net/http cannot rewind the
 // body and retry the request.
 type nonRewindableBody struct {
@@ -162,10 +200,12 @@
 // Send sends the request once and returns as soon as the response header is read. The
 // caller must close the response body. Errors are of type *SendError.
 func (c *Client) Send(ctx context.Context, r Request) (*http.Response, error) {
-	var sent atomic.Bool
+	var used atomic.Pointer[checkedConn]
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			sent.Store(true)
+		GotConn: func(info httptrace.GotConnInfo) {
+			c := info.Conn.(*checkedConn)
+			c.beginHead()
+			used.Store(c)
 		},
 	}
 	req, err := newHTTPRequest(httptrace.WithClientTrace(ctx, trace), r)
@@ -185,21 +225,32 @@
 			c.pooled.CloseIdleConnections()
 		}
 		return nil, &SendError{
-			MaybeSent: sent.Load(),
+			MaybeSent: used.Load() != nil,
 			Err:       errs.WithPeer(err, "Client.Send", r.Addr),
 		}
 	}
-	// net/http passes interim responses over, but not a switch of protocols, which no request asks for.
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+	conn := used.Load()
+	if err := checkHead(resp, conn); err != nil {
+		// What follows on the connection can't be relied on either. Errors of closing leave it unused as well.
 		_ = resp.Body.Close()
+		_ = conn.Close()
 		return nil, &SendError{
 			MaybeSent: true,
-			Err:       errs.WithPeer(errors.Wrapf(ErrStatus, "status %03d", resp.StatusCode), "Client.Send", r.Addr),
+			Err:       errs.WithPeer(err, "Client.Send", r.Addr),
 		}
 	}
 	return resp, nil
 }
 
+// checkHead returns what is wrong with the head of a response from a connection, or nil.
+func checkHead(resp *http.Response, c *checkedConn) error {
+	// net/http passes interim responses over, but not a switch of protocols, which no request asks for.
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return errors.Wrapf(ErrStatus, "status %03d", resp.StatusCode)
+	}
+	return c.headErr()
+}
+
 func newHTTPRequest(ctx context.Context, r Request) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Addr.String()+r.Path, nil)
 	if err != nil {
--- /dev/null
+++ b/stream/headcheck.go
@@ -0,0 +1,86 @@
+package stream
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+)
+
+// ErrFieldName means that the name of a field in the head of a response holds a blank.
+var ErrFieldName = errors.New("head of the response has a blank in the name of a field")
+
+// maxLineStart is how many bytes of a line HeadCheck keeps: the protocol and status of a response.
+const maxLineStart = len("HTTP/1.1 200")
+
+// statusClassAt is the place of the first digit of the status in a line.
+const statusClassAt = len("HTTP/1.1 ")
+
+// HeadCheck follows the bytes of a response up to the end of its head, with the interim responses before it,
+// and finds what net/http accepts although it is ambiguous. It accepts blanks in the name of a field, and a field
+// such as "Content-Length " does not frame the body. It also joins a line that begins with a blank to the
+// field before, whatever its name. (It rejects all other bytes that a name must not hold.)
+//
+// The zero value is ready for the first byte of a response.
+type HeadCheck struct {
+	err error
+	// ended is set behind the head of the final response.
+	ended bool
+	// inFields is set behind the status line, and isInterim for the head of an interim response.
+	inFields, isInterim bool
+	// start is the beginning of the current line of size bytes.
+	start []byte
+	size  int
+	// named is set once the name on the current line has ended.
+	named bool
+}
+
+// Reset prepares the check for the next response.
+func (h *HeadCheck) Reset() {
+	*h = HeadCheck{
+		start: h.start[:0],
+	}
+}
+
+// Err returns what is wrong with the bytes that were added, or nil.
+func (h *HeadCheck) Err() error {
+	return h.err
+}
+
+// Add adds the bytes that were received next. Those behind the head are ignored.
+func (h *HeadCheck) Add(b []byte) {
+	for len(b) > 0 && !h.ended && h.err == nil {
+		part, rest, lineEnded := bytes.Cut(b, []byte{'\n'})
+		h.addToLine(part)
+		if lineEnded {
+			h.endLine()
+		}
+		b = rest
+	}
+}
+
+// addToLine adds a part of the current line.
+func (h *HeadCheck) addToLine(part []byte) {
+	if h.inFields && !h.named {
+		var name []byte
+		name, _, h.named = bytes.Cut(part, []byte{':'})
+		if bytes.ContainsAny(name, " \t") {
+			h.err = ErrFieldName
+		}
+	}
+	h.size += len(part)
+	h.start = append(h.start, part[:min(len(part), maxLineStart-len(h.start))]...)
+}
+
+// endLine ends the current line.
+func (h *HeadCheck) endLine() {
+	switch isEmpty := h.size == 0 || string(h.start) == "\r"; {
+	case !h.inFields:
+		h.inFields = true
+		h.isInterim = len(h.start) > statusClassAt && h.start[statusClassAt] == '1'
+	case isEmpty && h.isInterim:
+		h.inFields = false
+	case isEmpty:
+		h.ended = true
+	}
+	h.start, h.size, h.named = h.start[:0], 0, false
+}
