An LF in front of the name of a field does not end the head

Callers saw: a 200 of a target in trouble whose body was the rest of its head, as "X-Extra: 1\r\nContent-Length: 15\r\n\r\n" and the body behind it.

Cause: net/http accepts a bare LF as a line break on each line, so that an LF in front of a name is the empty line that ends the head. Of the control bytes this is the one that net/http does not reject in a name.

Change: stream.HeadCheck ends a head whose lines break in both ways with ErrLineBreak.

--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -101,6 +101,14 @@
 		pkg:  "engine",
 		test: "TestBlankInFieldNameIsUnknown",
 	},
+	{
+		rule: "MIXED: line breaks",
+		file: "stream/headcheck.go",
+		old:  "case h.endsInCR != h.breaksInCR:",
+		new:  "case false:",
+		pkg:  "platform",
+		test: "TestFaultyFieldNameIsNoAnswer",
+	},
 	{
 		rule: "MIXED: promises of targets",
 		file: "proxy/relay.go",
--- a/stream/headcheck.go
+++ b/stream/headcheck.go
@@ -6,8 +6,13 @@
 	"github.com/pkg/errors"
 )
 
-// ErrFieldName means that the name of a field in the head of a response holds a blank.
-var ErrFieldName = errors.New("head of the response has a blank in the name of a field")
+// Errors of HeadCheck.
+var (
+	// ErrFieldName means that the name of a field holds a blank.
+	ErrFieldName = errors.New("head of the response has a blank in the name of a field")
+	// ErrLineBreak means that some lines end with CR LF and others with a bare LF.
+	ErrLineBreak = errors.New("head of the response has line breaks of both kinds")
+)
 
 // maxLineStart is how many bytes of a line HeadCheck keeps: the protocol and status of a response.
 const maxLineStart = len("HTTP/1.1 200")
@@ -18,7 +23,8 @@
 // HeadCheck follows the bytes of a response up to the end of its head, with the interim responses before it,
 // and finds what net/http accepts although it is ambiguous. It accepts blanks in the name of a field, and a field
 // such as "Content-Length " does not frame the body. It also joins a line that begins with a blank to the
-// field before, whatever its name. (It rejects all other bytes that a name must not hold.)
+// field before, whatever its name. (It rejects all other bytes that a name must not hold.) It accepts each line
+// with either line break, so that an LF in front of a name ends the head.
 //
 // The zero value is ready for the first byte of a response.
 type HeadCheck struct {
@@ -27,6 +33,8 @@
 	ended bool
 	// inFields is set behind the status line, and isInterim for the head of an interim response.
 	inFields, isInterim bool
+	// endsInCR is set if the current line ends in CR so far, and breaksInCR if the status line did.
+	endsInCR, breaksInCR bool
 	// start is the beginning of the current line of size bytes.
 	start []byte
 	size  int
@@ -67,6 +75,9 @@
 			h.err = ErrFieldName
 		}
 	}
+	if len(part) > 0 {
+		h.endsInCR = part[len(part)-1] == '\r'
+	}
 	h.size += len(part)
 	h.start = append(h.start, part[:min(len(part), maxLineStart-len(h.start))]...)
 }
@@ -75,12 +86,14 @@
 func (h *HeadCheck) endLine() {
 	switch isEmpty := h.size == 0 || string(h.start) == "\r"; {
 	case !h.inFields:
-		h.inFields = true
+		h.inFields, h.breaksInCR = true, h.endsInCR
 		h.isInterim = len(h.start) > statusClassAt && h.start[statusClassAt] == '1'
+	case h.endsInCR != h.breaksInCR:
+		h.err = ErrLineBreak
 	case isEmpty && h.isInterim:
 		h.inFields = false
 	case isEmpty:
 		h.ended = true
 	}
-	h.start, h.size, h.named = h.start[:0], 0, false
+	h.start, h.size, h.named, h.endsInCR = h.start[:0], 0, false, false
 }
--- a/stream/headcheck_test.go
+++ b/stream/headcheck_test.go
@@ -26,6 +26,25 @@
 		name: "interim responses",
 		head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a b\r\n\r\nHTTP/1.1 200 OK\r\n\r\na b: c",
 	},
+	{
+		name: "bare LF throughout",
+		head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 9\n\na b: c\r\n d",
+	},
+	{
+		name: "LF in front of a name",
+		head: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\nX-Extra: 1\r\n\r\n",
+		err:  stream.ErrLineBreak,
+	},
+	{
+		name: "bare LF behind a field",
+		head: "HTTP/1.1 200 OK\r\nX-Extra: 1\nContent-Length: 9\r\n\r\n",
+		err:  stream.ErrLineBreak,
+	},
+	{
+		name: "bare LF behind the status line",
+		head: "HTTP/1.1 200 OK\nContent-Length: 9\r\n\r\n",
+		err:  stream.ErrLineBreak,
+	},
 	{
 		name: "blank at the end of a name",
 		head: "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n",
