The product's own client refuses chunks of HTTP/1.0 as well

Callers of services saw the lengths of the chunks of such a response as part of its body.

Cause: net/http ignores a transfer encoding in HTTP/1.0, which has no chunks. origin refused such a response, rest did not.

Change: the check moves from origin to stream.HeadCheck, which both use. origin no longer keeps the bytes of such a head. ErrFaultyFraming is in package stream now.

--- a/engine/status_test.go
+++ b/engine/status_test.go
@@ -100,3 +100,9 @@
 		})
 	}
 }
+
+// Guards against the chunks of a response in HTTP/1.0, which has none, that are taken for an answer of a service.
+func TestChunksOfHTTP10AreUnknown(t *testing.T) {
+	const response = "HTTP/1.0 200 OK\r\nX-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	requireUnknown(t, startResponder(t, response), stream.ErrFaultyFraming)
+}
--- a/itest/guards_fleet_test.go
+++ b/itest/guards_fleet_test.go
@@ -124,9 +124,9 @@
 	},
 	{
 		rule: "MIXED: chunks of HTTP/1.0",
-		file: "origin/origin.go",
-		old:  "err == nil && c.hasFaultyFraming()",
-		new:  "false",
+		file: "stream/headcheck.go",
+		old:  "case h.isOld && strings.EqualFold(string(h.start), transferEncoding):",
+		new:  "case strings.EqualFold(transferEncoding, \"\"):",
 		pkg:  "origin",
 		test: "TestChunksOfHTTP10AreNoAnswer",
 	},
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -17,7 +17,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -73,16 +72,9 @@
 // within its bound.
 var ErrHeadTooLarge = errors.New("head of the response is too large")
 
-// ErrFaultyFraming is the cause of a SendError if a response in HTTP/1.0, which has no chunks, has a
-// transfer encoding: net/http would take the chunks for the body.
-var ErrFaultyFraming = errors.New("response in HTTP/1.0 has a transfer encoding")
-
 // ErrStatus is the cause of a SendError if the status of a response is not one of HTTP, or 101, which no request asks for.
 var ErrStatus = errors.New("response with an impossible status")
 
-// oldProtocol is the beginning of a response in HTTP/1.0.
-const oldProtocol = "HTTP/1.0"
-
 // Request is an HTTP request to a target.
 type Request struct {
 	// ID identifies the request: it is not sent on a connection on which it was refused
@@ -148,9 +140,6 @@
 	head stream.HeadCheck
 	// held takes the bytes of the head.
 	held *memory.Holder
-	// oldHead is the head that is being read, as long as it may be one in HTTP/1.0.
-	oldHead  []byte
-	mayBeOld bool
 	// lastRead is when something was last received; nil if nothing was. longestGap is the longest time
 	// between two reads of the present response, in nanoseconds.
 	lastRead   atomic.Pointer[time.Time]
@@ -180,7 +169,6 @@
 	if c.headLeft > 0 {
 		c.headLeft -= n
 		c.head.Add(b[:n])
-		c.keepOldHead(b[:n])
 		if !c.held.Grow(int64(n)) {
 			return n, memory.ErrNoRoom
 		}
@@ -188,25 +176,6 @@
 	return n, err
 }
 
-// keepOldHead keeps the bytes of a head that is one in HTTP/1.0.
-func (c *conn) keepOldHead(b []byte) {
-	if !c.mayBeOld {
-		return
-	}
-	c.oldHead = append(c.oldHead, b[:min(len(b), len(oldProtocol))]...)
-	begin := min(len(oldProtocol), len(c.oldHead))
-	if c.mayBeOld = string(c.oldHead[:begin]) == oldProtocol[:begin]; c.mayBeOld {
-		c.oldHead = append(c.oldHead, b[min(len(b), len(oldProtocol)):]...)
-	}
-}
-
-// hasFaultyFraming reports whether the head that was read is one in HTTP/1.0 with a transfer
-// encoding.
-func (c *conn) hasFaultyFraming() bool {
-	head, _, _ := bytes.Cut(c.oldHead, []byte("\r\n\r\n"))
-	return c.mayBeOld && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
-}
-
 // reset closes the connection with a TCP reset and discards unsent data, so that a
 // cancelled request does not reach the target later.
 func (c *conn) reset() {
@@ -283,15 +252,12 @@
 		Method: r.Method,
 	}
 	c.head.Reset()
-	c.headLeft, c.oldHead, c.mayBeOld, c.held = maxHeadBytes, c.oldHead[:0], true, r.Held
+	c.headLeft, c.held = maxHeadBytes, r.Held
 	resp, err := readResponse(c.br, req)
 	c.headLeft, c.held = -1, nil
 	if err == nil {
 		err = c.head.Err()
 	}
-	if err == nil && c.hasFaultyFraming() {
-		err = ErrFaultyFraming
-	}
 	if err != nil {
 		stop()
 		silent := w.stop()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantstile/origin"
+	"currantstile/stream"
 )
 
 // startServer calls serve for every accepted connection; n counts them from 1.
@@ -135,7 +136,7 @@
 			}
 		})
 		_, err := sendAndRead(p, addr)
-		require.ErrorIs(t, err, origin.ErrFaultyFraming)
+		require.ErrorIs(t, err, stream.ErrFaultyFraming)
 	}
 }
 
--- a/stream/headcheck.go
+++ b/stream/headcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -12,27 +13,38 @@
 	ErrFieldName = errors.New("head of the response has a blank in the name of a field")
 	// ErrLineBreak means that some lines end with CR LF and others with a bare LF.
 	ErrLineBreak = errors.New("head of the response has line breaks of both kinds")
+	// ErrFaultyFraming means that a response in HTTP/1.0, which has no chunks, has a transfer encoding.
+	ErrFaultyFraming = errors.New("response in HTTP/1.0 has a transfer encoding")
 )
 
-// maxLineStart is how many bytes of a line HeadCheck keeps: the protocol and status of a response.
-const maxLineStart = len("HTTP/1.1 200")
-
-// statusClassAt is the place of the first digit of the status in a line.
-const statusClassAt = len("HTTP/1.1 ")
+const (
+	// oldProtocol is the beginning of a response in HTTP/1.0.
+	oldProtocol = "HTTP/1.0"
+	// statusClassAt is the place of the first digit of the status in a status line.
+	statusClassAt = len("HTTP/1.1 ")
+	// transferEncoding begins the field that states chunks, in lower case.
+	transferEncoding = "transfer-encoding:"
+	// maxLineStart is how many bytes of a line are kept: as many as are compared.
+	maxLineStart = len(transferEncoding)
+)
 
-// HeadCheck follows the bytes of a response up to the end of its head, with the interim responses before it,
-// and finds what net/http accepts although it is ambiguous. It accepts blanks in the name of a field, and a field
-// such as "Content-Length " does not frame the body. It also joins a line that begins with a blank to the
-// field before, whatever its name. (It rejects all other bytes that a name must not hold.) It accepts each line
-// with either line break, so that an LF in front of a name ends the head.
+// HeadCheck follows the bytes of a response up to the end of its head, with the interim responses before it, and
+// finds what net/http accepts although it is ambiguous:
+//   - a blank in the name of a field; one such as "Content-Length " does not frame the body, and is passed on
+//   - a line that begins with a blank, which is joined to the field before, whatever name follows
+//   - a bare LF beside line breaks with CR LF; in front of a name it ends the head
+//   - a transfer encoding in HTTP/1.0, which is ignored, so that the chunks are the body
+//
+// All other bytes that a name must not hold are rejected by net/http.
 //
 // The zero value is ready for the first byte of a response.
 type HeadCheck struct {
 	err error
 	// ended is set behind the head of the final response.
 	ended bool
-	// inFields is set behind the status line, and isInterim for the head of an interim response.
-	inFields, isInterim bool
+	// inFields is set behind the status line, isInterim for the head of an interim response, and isOld for one in
+	// HTTP/1.0.
+	inFields, isInterim, isOld bool
 	// endsInCR is set if the current line ends in CR so far, and breaksInCR if the status line did.
 	endsInCR, breaksInCR bool
 	// start is the beginning of the current line of size bytes.
@@ -88,8 +100,11 @@
 	case !h.inFields:
 		h.inFields, h.breaksInCR = true, h.endsInCR
 		h.isInterim = len(h.start) > statusClassAt && h.start[statusClassAt] == '1'
+		h.isOld = bytes.HasPrefix(h.start, []byte(oldProtocol))
 	case h.endsInCR != h.breaksInCR:
 		h.err = ErrLineBreak
+	case h.isOld && strings.EqualFold(string(h.start), transferEncoding):
+		h.err = ErrFaultyFraming
 	case isEmpty && h.isInterim:
 		h.inFields = false
 	case isEmpty:
--- a/stream/headcheck_test.go
+++ b/stream/headcheck_test.go
@@ -26,6 +26,19 @@
 		name: "interim responses",
 		head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a b\r\n\r\nHTTP/1.1 200 OK\r\n\r\na b: c",
 	},
+	{
+		name: "HTTP/1.0",
+		head: "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\n\r\n",
+	},
+	{
+		name: "transfer encoding",
+		head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	},
+	{
+		name: "transfer encoding in HTTP/1.0",
+		head: "HTTP/1.0 200 OK\r\ntransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		err:  stream.ErrFaultyFraming,
+	},
 	{
 		name: "bare LF throughout",
 		head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 9\n\na b: c\r\n d",
