A reset behind the end of the target's side does not end a response as complete

Callers saw: the same as with a reset during an upload, part of a body as a complete 200, where the target closed the connection and its system reset it.

Cause: a target that closes a connection without having received all of the request ends its side first; its system resets the connection when more of the request arrives. The read gets a regular io.EOF before, and the rest of the upload may lie in our own system's buffer, so that no write fails. A response whose connection is reset is not complete (MIXED), on whichever side of its end.

A peer that ends its side and reads on, slowly or not at all, has still answered whole.

--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -85,6 +85,14 @@
 		pkg:  "socket",
 		test: "TestResetReportedToWriteIsReportedToReads",
 	},
+	{
+		rule: "MIXED: resets behind the end",
+		file: "socket/tcp.go",
+		old:  "if c.failure == nil && isReset(c) {",
+		new:  "if false {",
+		pkg:  "socket",
+		test: "TestResetBehindEndIsReported",
+	},
 	{
 		rule: "MIXED: names of fields",
 		file: "origin/origin.go",
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -156,14 +156,6 @@
 	if !ok {
 		return false
 	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := false
-	err = rc.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		unacknowledged = err == nil && info.Unacked > 0
-	})
-	return err == nil && unacknowledged
+	info, err := tcpInfo(sc)
+	return err == nil && info.Unacked > 0
 }
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -1,6 +1,7 @@
 package socket_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -14,8 +15,10 @@
 
 const (
 	// uploadBytes is more than the buffers of both ends take.
-	uploadBytes = 32 << 20
+	uploadBytes = 64 << 20
 	patience    = 10 * time.Second
+	// resetArrives is more than a segment takes on the loopback interface.
+	resetArrives = 20 * time.Millisecond
 )
 
 // dialPair returns both ends of a connection that was dialled by System.
@@ -37,11 +40,11 @@
 	return c, peer.(*net.TCPConn)
 }
 
-// beginUpload writes more than the peer accepts, and returns the result of the write.
-func beginUpload(c net.Conn) <-chan error {
+// beginUpload writes n bytes and returns the result of the write.
+func beginUpload(c net.Conn, n int) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		_, err := c.Write(make([]byte, uploadBytes))
+		_, err := c.Write(make([]byte, n))
 		done <- err
 	}()
 	return done
@@ -56,7 +59,7 @@
 // Guards against a reset that only a write reports: a read would take it for the end of what the peer sent.
 func TestResetReportedToWriteIsReportedToReads(t *testing.T) {
 	c, peer := dialPair(t)
-	written := beginUpload(c)
+	written := beginUpload(c, uploadBytes)
 	_, err := io.WriteString(peer, "part")
 	require.NoError(t, err)
 	reset(t, peer)
@@ -73,7 +76,7 @@
 	const rounds = 200
 	for range rounds {
 		c, peer := dialPair(t)
-		written := beginUpload(c)
+		written := beginUpload(c, uploadBytes)
 		_, err := io.WriteString(peer, "part")
 		require.NoError(t, err)
 		part := make([]byte, len("part"))
@@ -88,34 +91,73 @@
 	}
 }
 
-// Guards against an end that the peer sent in order and that is taken for a reset, or waited for, because the
-// upload has not ended or fails afterwards.
-func TestEndBeforeUploadHasEnded(t *testing.T) {
+// Guards against the end of the peer's side, before a reset, that is taken for the end of what it sent.
+func TestResetBehindEndIsReported(t *testing.T) {
 	for _, c := range []struct {
-		name       string
-		resetAfter bool
+		name  string
+		bytes int
+		delay time.Duration
 	}{
 		{
-			name: "the peer reads no more",
+			name:  "during a write",
+			bytes: uploadBytes,
 		},
 		{
-			name:       "the peer resets the connection afterwards",
-			resetAfter: true,
+			name:  "after the end was read, during a write",
+			bytes: uploadBytes,
+			delay: resetArrives,
+		},
+		{
+			name:  "after a write",
+			bytes: 1000,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn, peer := dialPair(t)
-			written := beginUpload(conn)
-			_, err := io.WriteString(peer, "whole")
+			written := beginUpload(conn, c.bytes)
+			_, err := io.ReadFull(peer, make([]byte, 1))
+			require.NoError(t, err, "the write has begun")
+			_, err = io.WriteString(peer, "part")
+			require.NoError(t, err)
+			require.NoError(t, peer.CloseWrite())
+			if c.bytes < uploadBytes {
+				require.NoError(t, <-written)
+			}
+			time.AfterFunc(c.delay, func() {
+				socket.Reset(peer)
+			})
+			// Without a delay the reset arrives before the end is read.
+			time.Sleep(resetArrives - c.delay)
+			got, err := io.ReadAll(conn)
+			require.Error(t, err)
+			require.Equal(t, "part", string(got))
+		})
+	}
+}
+
+// Guards against an end that the peer sent in order and that is taken for a reset, or waited for, while a large
+// request is still written.
+func TestEndInOrderDuringWrite(t *testing.T) {
+	for _, reads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the peer reads on: %t", reads), func(t *testing.T) {
+			conn, peer := dialPair(t)
+			written := beginUpload(conn, uploadBytes)
+			_, err := io.ReadFull(peer, make([]byte, 1))
+			require.NoError(t, err, "the write has begun")
+			_, err = io.WriteString(peer, "whole")
 			require.NoError(t, err)
 			require.NoError(t, peer.CloseWrite())
-			if c.resetAfter {
-				reset(t, peer)
-				require.Error(t, <-written)
+			if reads {
+				go func() {
+					_, _ = io.Copy(io.Discard, peer)
+				}()
 			}
 			got, err := io.ReadAll(conn)
 			require.NoError(t, err)
 			require.Equal(t, "whole", string(got))
+			if reads {
+				require.NoError(t, <-written)
+			}
 		})
 	}
 }
@@ -127,7 +169,7 @@
 	_, err := io.WriteString(peer, "x")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return !socket.IsIdle(c) }, patience, time.Millisecond)
-	_ = beginUpload(c)
+	_ = beginUpload(c, uploadBytes)
 	require.Eventually(t, func() bool { return socket.HasUnacknowledged(c) }, patience, time.Millisecond)
 	socket.Reset(c)
 	_, err = io.Copy(io.Discard, peer)
