--- a/drill/draw.go
+++ b/drill/draw.go
@@ -65,6 +65,7 @@
 	d.drawSilence(rand.New(rand.NewPCG(o.Seed, 0x51e)))
 	d.drawLimits(rand.New(rand.NewPCG(o.Seed, 0x11a)))
 	d.drawLeaves(rand.New(rand.NewPCG(o.Seed, 0x1ea)))
+	d.drawOutages(rand.New(rand.NewPCG(o.Seed, 0x0a6)))
 	d.drawRare(rand.New(rand.NewPCG(o.Seed, 0xa3e)))
 	d.drawIdle(rand.New(rand.NewPCG(o.Seed, 0x1d7e)))
 	d.drawJoins(rand.New(rand.NewPCG(o.Seed, 0x101)))
--- a/drill/fault.go
+++ b/drill/fault.go
@@ -26,7 +26,7 @@
 var faultKinds []faultKind
 
 func init() {
-	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes(), operatorFaults(), limitFaults(), silenceFaults(), idleFaults(), joinFaults())
+	faultKinds = slices.Concat(instanceFaults(), storeFaults(), targetFaults(), changes(), operatorFaults(), limitFaults(), silenceFaults(), idleFaults(), joinFaults(), outageFaults())
 }
 
 func faultNamed(name string) (faultKind, bool) {
--- a/drill/rare.go
+++ b/drill/rare.go
@@ -97,7 +97,7 @@
 // the day.
 func (d *Day) endQuietly() {
 	from := d.Length - quietEnd
-	quiet := slices.Concat(instanceFaults(), storeFaults(), targetFaults(), silenceFaults(), limitFaults(), operatorFaults())
+	quiet := slices.Concat(instanceFaults(), storeFaults(), targetFaults(), silenceFaults(), limitFaults(), operatorFaults(), outageFaults())
 	late := make(map[string]bool)
 	for _, r := range d.Requests {
 		late[r.ID] = r.At > from
