A watch that returned no changes in its time is sent again at once

Cause: a delay batches changes between two watches. It also followed a watch that had waited in vain, so that no watch waited for a tenth of a second. Since a reader sends short watches when it begins to read, a change could meet that delay right after a start: TestConfigurationDoesNotRevert failed once in a run of ./platform beside other load, because the second instance did not have the configuration yet that the first one served when the store returned.

Change: the delay follows watches that returned changes, and those that came back sooner than asked.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -76,6 +76,8 @@
 
 	hub        *Hub
 	retryDelay time.Duration
+	// waited is set if the last watch returned no changes within its time. It belongs to poll.
+	waited bool
 
 	// listedOnce is set by the first listing. Unlike Listed it is read without mu.
 	listedOnce atomic.Bool
@@ -135,6 +137,7 @@
 	canWatch, after := f.view.announces(), f.view.revision
 	f.mu.Unlock()
 	var err error
+	f.waited = false
 	if canWatch {
 		err = f.watch(ctx)
 	} else {
@@ -147,6 +150,10 @@
 	switch {
 	case err == nil:
 		f.retryDelay = minRetryDelay
+		if f.waited {
+			// No series of changes is under way.
+			return 0
+		}
 		return f.watchDelay()
 	case errors.Is(err, store.ErrCompacted):
 		f.Log.Info().Msgf("feed: history of %s was compacted; listing it again", f.Prefix)
@@ -195,7 +202,8 @@
 		return err
 	}
 	f.interrupted.Store(false)
-	if len(b.Entries) == 0 && time.Since(sent) >= wait {
+	f.waited = len(b.Entries) == 0 && time.Since(sent) >= wait
+	if f.waited {
 		// The store has waited before it responded.
 		sent = sent.Add(wait)
 	}
