--- a/watch/disturbed_test.go
+++ b/watch/disturbed_test.go
@@ -72,6 +72,21 @@
 	cancel map[string]context.CancelFunc
 }
 
+// newDisturbedDay returns a day of four instances that draws from rng.
+func newDisturbedDay(t *testing.T, rng *rand.Rand) *disturbedDay {
+	return &disturbedDay{
+		testFleet: &testFleet{
+			t:         t,
+			kv:        &memkv.Store{},
+			instances: make(map[string]*testInstance),
+			names:     []string{"a", "b", "c", "d"},
+		},
+		rng:    rng,
+		killed: make(map[string]bool),
+		cancel: make(map[string]context.CancelFunc),
+	}
+}
+
 // striking returns the disturbance of an instance at a time.
 func (d *disturbedDay) striking(name string, at time.Time) (disturbance, bool) {
 	d.mu.Lock()
@@ -309,17 +324,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer synctest.Wait()
 				defer cancel()
-				d := &disturbedDay{
-					testFleet: &testFleet{
-						t:         t,
-						kv:        &memkv.Store{},
-						instances: make(map[string]*testInstance),
-						names:     []string{"a", "b", "c", "d"},
-					},
-					rng:    rand.New(rand.NewPCG(seed, 7)),
-					killed: make(map[string]bool),
-					cancel: make(map[string]context.CancelFunc),
-				}
+				d := newDisturbedDay(t, rand.New(rand.NewPCG(seed, 7)))
 				d.start(ctx)
 				d.play(seed%2 == 0, seed%5 == 0)
 			})
--- a/watch/notice_test.go
+++ b/watch/notice_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"currantstile/memkv"
 )
 
 // noticeTime is how long after the store's return an instance takes at most to notice it. Package node takes
@@ -27,17 +25,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer synctest.Wait()
 				defer cancel()
-				d := &disturbedDay{
-					testFleet: &testFleet{
-						t:         t,
-						kv:        &memkv.Store{},
-						instances: make(map[string]*testInstance),
-						names:     []string{"a", "b", "c", "d"},
-					},
-					rng:    rand.New(rand.NewPCG(seed, 8)),
-					killed: make(map[string]bool),
-					cancel: make(map[string]context.CancelFunc),
-				}
+				d := newDisturbedDay(t, rand.New(rand.NewPCG(seed, 8)))
 				d.start(ctx)
 				from := time.Now().Add(time.Duration(d.rng.IntN(2000)) * time.Millisecond)
 				outage := disturbance{
