Changes count as known once they have been applied

Callers: none seen; an instance could, for the time that Apply takes, count as up to date while its configuration lacked a change that it had received, and so deny with 401, 403 or 404.

Cause: Follower stored knownTo before it called Apply, and the coverage is moved by other goroutines, which read knownTo without the lock.

Change: knownTo is stored after Apply has returned.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -88,7 +88,7 @@
 	interrupted atomic.Bool
 	// short is set if the next watch has to return soon, with what is known to be missing or without changes.
 	short atomic.Bool
-	// knownTo is the revision of the view. It is read without mu.
+	// knownTo is the revision up to which changes have been applied. It is read without mu.
 	knownTo atomic.Uint64
 	// listedAt is when the last complete listing was begun; nil before the first one.
 	listedAt atomic.Pointer[time.Time]
@@ -256,9 +256,6 @@
 // hold mu.
 func (f *Follower) noteEra(now time.Time, before, heard store.Revision) {
 	f.era.Store(uint32(f.view.revision.Era()))
-	if f.view.complete {
-		f.knownTo.Store(uint64(f.view.revision))
-	}
 	if f.hub != nil {
 		f.hub.raiseEra(now, before, heard)
 	}
@@ -288,12 +285,15 @@
 	if f.view.complete {
 		f.listedOnce.Store(true)
 	}
-	if len(changes) == 0 || f.tryApply(now, changes) {
-		return
+	if len(changes) > 0 && !f.tryApply(now, changes) {
+		// One entry that can't be applied must not keep the others back.
+		for _, c := range changes {
+			f.tryApply(now, []Change{c})
+		}
 	}
-	// One entry that can't be applied must not keep the others back.
-	for _, c := range changes {
-		f.tryApply(now, []Change{c})
+	if f.view.complete {
+		// Not before Apply has returned: others take what is known for what is in force.
+		f.knownTo.Store(uint64(f.view.revision))
 	}
 }
 
