--- a/watch/disturbed_test.go
+++ b/watch/disturbed_test.go
@@ -257,8 +257,9 @@
 			continue
 		}
 		i := d.instances[name]
-		known, _ := strconv.Atoi(i.value("key"))
+		// In this order: a change that arrives in between is known by the evidence that comes with it.
 		age, current := i.hub.Evidence(now)
+		known, _ := strconv.Atoi(i.value("key"))
 		for n, at := range d.acked {
 			if n < known {
 				continue
