A denial stands only if no newer configuration has arrived meanwhile

Callers: a request that a newer configuration allows could get 401 or 404 at an instance that received this configuration, and so became up to date, in the moment between looking the request up and asking whether it is up to date.

Cause: Gate.deny asked for the evidence after the configuration had been read; evidence of the newer one was taken for the older one.

Change: deny compares the configuration in force after the evidence with the one that was looked at; if it was replaced, the caller is asked to try again.

--- a/itest/guards_fleet_test.go
+++ b/itest/guards_fleet_test.go
@@ -237,11 +237,19 @@
 	{
 		rule: "CONFIG: outdated instances do not deny",
 		file: "proxy/proxy.go",
-		old:  "if g.UpToDate == nil || g.UpToDate(now) {",
-		new:  "if true {",
+		old:  "upToDate := g.UpToDate == nil || g.UpToDate(now)",
+		new:  "upToDate := true",
 		pkg:  "platform",
 		test: "TestOutdatedInstanceDoesNotDeny",
 	},
+	{
+		rule: "CONFIG: denials by the newest configuration",
+		file: "proxy/proxy.go",
+		old:  "if upToDate && g.Config() == cfg {",
+		new:  "if upToDate {",
+		pkg:  "proxy",
+		test: "TestConfigurationReplacedBeforeDenial",
+	},
 	{
 		rule: "LIMIT: tokens of a target",
 		file: "avail/limit.go",
--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -272,7 +272,7 @@
 	{
 		rule: "ROUTE: unknown keys",
 		file: "proxy/proxy.go",
-		old:  "return g.deny(now, http.StatusUnauthorized, \"unknown-key\")",
+		old:  "return g.deny(now, cfg, http.StatusUnauthorized, \"unknown-key\")",
 		new:  "x.Org = nil",
 		pkg:  "platform",
 		test: "TestRefusals",
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -391,10 +391,12 @@
 // configuration yet, or an outdated one; the retry may go to another instance.
 const noConfigRetryAfter = 200 * time.Millisecond
 
-// deny returns the refusal of a request that the configuration does not allow. A newer one may,
-// so an instance that may be outdated only asks the caller to try again.
-func (g *Gate) deny(now time.Time, status int, reason string) *Refusal {
-	if g.UpToDate == nil || g.UpToDate(now) {
+// deny returns the refusal of a request that cfg does not allow. A newer configuration may, so an instance that may
+// be outdated only asks the caller to try again.
+func (g *Gate) deny(now time.Time, cfg *config.Config, status int, reason string) *Refusal {
+	upToDate := g.UpToDate == nil || g.UpToDate(now)
+	// The change that brought this instance up to date may have come after cfg was read.
+	if upToDate && g.Config() == cfg {
 		return newRefusal(status, reason)
 	}
 	return &Refusal{
@@ -425,7 +427,7 @@
 	}
 	route, ok := cfg.Route(c.Host, c.Path)
 	if !ok {
-		return g.deny(now, http.StatusNotFound, "no-route")
+		return g.deny(now, cfg, http.StatusNotFound, "no-route")
 	}
 	x.Route = route
 	x.Deadline = now.Add(route.Timeout)
@@ -440,7 +442,7 @@
 	}
 	if cfg.RequiresKeys() && !route.Public {
 		if x.Org, ok = cfg.OrganisationByKey(c.Key); !ok {
-			return g.deny(now, http.StatusUnauthorized, "unknown-key")
+			return g.deny(now, cfg, http.StatusUnauthorized, "unknown-key")
 		}
 	}
 	if x.conn != nil && (x.Org != nil || !cfg.RequiresKeys()) {
