A restart of all instances and targets is told from a first start

Cause: poison.MayHaveForgotten compares the starts of the instances and targets that are listed. If all of them have started again within 3 s of each other, nothing is left that shows an earlier run, and copies took no turns (log: "known":true 1.1 s after the start).

Change: the membership record, which outlasts the instances, holds since when the deployment runs; MayHaveForgotten takes that for its begin. Until it is known whether there is a record, ends may have been forgotten. Records of earlier programs have no such time; the next record that is written gets one.

Result: the new rows of TestMayHaveForgotten and TestEvenAllocatorKeepsWhenTheDeploymentStarted cover it; the first new row can't be stated before, as the function had no such input.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -63,6 +64,8 @@
 	Era store.Era `json:"era,omitempty"`
 	// Restores is the revision of the record that this one repeats, since the store had lost it.
 	Restores store.Revision `json:"restores,omitempty"`
+	// Since is a time in Unix milliseconds at which the deployment ran already; 0 in records of earlier programs.
+	Since int64 `json:"since,omitempty"`
 }
 
 // EvenAllocator divides the limits equally among the instances in a membership record
@@ -296,6 +299,7 @@
 		}),
 		Settles: true,
 		Addrs:   e.recordAddrs(next, alive),
+		Since:   cmp.Or(e.record.Since, e.startedAt.UnixMilli()),
 	}, true
 }
 
@@ -371,6 +375,17 @@
 	return len(e.record.Instances)
 }
 
+// RunningSince returns a time at which the deployment ran already, which outlasts the instances. It is zero if none has
+// been recorded, and false is returned until that is known.
+func (e *EvenAllocator) RunningSince() (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Since == 0 {
+		return time.Time{}, e.recordKnown
+	}
+	return time.UnixMilli(e.record.Since), true
+}
+
 // Holders returns the addresses, by name, of the other live instances that hold shares
 // of a contract. An instance that is not up to date may know of some by the record alone.
 func (e *EvenAllocator) Holders(org model.OrgID) map[string]netip.AddrPort {
--- a/broker/even_allocator_test.go
+++ b/broker/even_allocator_test.go
@@ -207,6 +207,27 @@
 	}
 }
 
+// Guards against a deployment that counts as started for the first time after a restart of all its instances.
+func TestEvenAllocatorKeepsWhenTheDeploymentStarted(t *testing.T) {
+	f := newEvenFleet(t, "a", "b")
+	f.advance(3 * time.Second)
+	first, known := f.allocators["a"].RunningSince()
+	require.True(t, known)
+	require.WithinDuration(t, f.now.Add(-3*time.Second), first, time.Millisecond)
+	f.start("c")
+	f.advance(EvenReclaimDelay)
+	for _, name := range []string{"a", "b", "c"} {
+		f.start(name)
+	}
+	f.advance(EvenReclaimDelay)
+	for _, name := range []string{"a", "b", "c"} {
+		since, known := f.allocators[name].RunningSince()
+		require.True(t, known)
+		require.Equal(t, first, since, name)
+	}
+	require.Greater(t, f.allocators["a"].record.Version, uint64(1))
+}
+
 // Guards against shares that exceed the total while an instance joins: it must use its
 // share only after the others have reduced theirs.
 func TestEvenAllocatorJoin(t *testing.T) {
--- a/node/copies.go
+++ b/node/copies.go
@@ -43,7 +43,8 @@
 	for t := range view.Targets() {
 		targets = append(targets, time.UnixMilli(t.Started))
 	}
-	known := !poison.MayHaveForgotten(now, instances, targets)
+	running, ok := s.node.limiter.allocator.RunningSince()
+	known := ok && !poison.MayHaveForgotten(now, running, instances, targets)
 	if s.copies.known.Swap(known) != known {
 		s.node.Log.Info().Bool("known", known).Msg("poison: whether the ends of targets are known has changed")
 	}
--- a/poison/copies.go
+++ b/poison/copies.go
@@ -27,15 +27,20 @@
 
 // MayHaveForgotten reports whether reports of ended targets may have been lost with instances: instances have started
 // after the others or after the targets, and a target has started within the last ten minutes, so that one may have ended, but not
-// long after the start of such an instance.
+// long after the start of such an instance. The deployment ran at running already, whatever has started since; that may be
+// zero.
 //
 // At the first start of a deployment targets start within seconds of each other and of the instances, and nothing was lost. The
 // reports of a single instance among many are not enough to hide a request that crashes targets: the others have theirs.
-func MayHaveForgotten(now time.Time, instances, targets []time.Time) bool {
+func MayHaveForgotten(now, running time.Time, instances, targets []time.Time) bool {
 	if len(instances) == 0 || len(targets) == 0 {
 		return true
 	}
 	first := slices.MinFunc(targets, time.Time.Compare)
+	if !running.IsZero() && running.Before(first) {
+		// No target is left of those that it began with.
+		first = running
+	}
 	begin := first
 	if i := slices.MinFunc(instances, time.Time.Compare); i.Before(begin) {
 		begin = i
--- a/poison/copies_test.go
+++ b/poison/copies_test.go
@@ -52,23 +52,29 @@
 	for _, c := range []struct {
 		name               string
 		now                int
+		running            time.Time
 		instances, targets []time.Time
 		want               bool
 	}{
-		{"nothing listed", 100, nil, nil, true},
-		{"all started together", 10, times(5, 5), times(0, 1, 2), false},
-		{"a target is back before a restart", 120, times(100, 101), times(0, 95), true},
-		{"a target is back after a restart", 120, times(100, 101), times(0, 110), true},
-		{"one of the instances was restarted", 120, times(0, 101), times(0, 95), true},
-		{"a target is back long after a restart", 220, times(100, 101), times(0, 200), false},
-		{"long ago", 1000, times(999), times(0, 100), false},
-		{"targets start with the instances, one after the other", 30, times(0, 0, 0, 0), times(1, 5, 9), false},
-		{"targets start before the instances, one after the other", 30, times(2, 2, 2, 2), times(0, 5, 9), false},
-		{"targets come and go without a restart", 60, times(0, 0, 0, 0), times(0, 12, 14, 50), false},
-		{"one of many instances was restarted", 60, times(0, 0, 0, 0, 40), times(0, 30), false},
-		{"two of many instances were restarted", 60, times(0, 0, 0, 40, 41), times(0, 30), true},
+		{"nothing listed", 100, time.Time{}, nil, nil, true},
+		{"all started together", 10, time.Time{}, times(5, 5), times(0, 1, 2), false},
+		{"a target is back before a restart", 120, time.Time{}, times(100, 101), times(0, 95), true},
+		{"a target is back after a restart", 120, time.Time{}, times(100, 101), times(0, 110), true},
+		{"one of the instances was restarted", 120, time.Time{}, times(0, 101), times(0, 95), true},
+		{"a target is back long after a restart", 220, time.Time{}, times(100, 101), times(0, 200), false},
+		{"long ago", 1000, time.Time{}, times(999), times(0, 100), false},
+		{"targets start with the instances, one after the other", 30, time.Time{}, times(0, 0, 0, 0), times(1, 5, 9), false},
+		{"targets start before the instances, one after the other", 30, time.Time{}, times(2, 2, 2, 2), times(0, 5, 9), false},
+		{"targets come and go without a restart", 60, time.Time{}, times(0, 0, 0, 0), times(0, 12, 14, 50), false},
+		{"one of many instances was restarted", 60, time.Time{}, times(0, 0, 0, 0, 40), times(0, 30), false},
+		{"two of many instances were restarted", 60, time.Time{}, times(0, 0, 0, 40, 41), times(0, 30), true},
+		{"all instances and all targets were restarted together", 30, at(0), times(20, 20), times(18, 19, 20), true},
+		{"all targets were restarted long after all instances", 60, at(0), times(20, 20), times(40, 40, 41), false},
+		{"all instances were restarted and no target", 60, at(time.Second), times(20, 20), times(0, 1, 2), false},
+		{"first start, recorded by an instance", 60, at(2 * time.Second), times(1, 2), times(0, 1, 4), false},
+		{"targets start late and no instance was restarted", 60, at(2 * time.Second), times(1, 2), times(10, 11, 12), false},
 	} {
-		require.Equal(t, c.want, poison.MayHaveForgotten(at(time.Duration(c.now)*time.Second), c.instances, c.targets), c.name)
+		require.Equal(t, c.want, poison.MayHaveForgotten(at(time.Duration(c.now)*time.Second), c.running, c.instances, c.targets), c.name)
 	}
 }
 
@@ -95,7 +101,7 @@
 			// A target is replaced.
 			targets[i%len(targets)] = now
 		}
-		if poison.MayHaveForgotten(now, started, targets) && c.Take(now, same, fmt.Sprint(i)) > 0 {
+		if poison.MayHaveForgotten(now, started[0], started, targets) && c.Take(now, same, fmt.Sprint(i)) > 0 {
 			held++
 		}
 	}
