A copy of a crashing request is not sent without its turn

Cause: Router.AskCopy returned an empty reply, which allows the copy, if no instance responded: the caller's deadline ended the question, or the holder and its deputy took longer than 0.3 s. Log: "copy of a request sent after another one", waited 1479 ms, for all three copies of a route of 1.5 s.

Change: AskCopy tells whether an instance responded. Without a response the copy asks again and is refused once its wait is over; an instance that none has responded to for as long as a copy waits decides about its own copies alone.

Result: TestCopyIsNotSentWithoutItsTurn and TestCopiesAtInstanceThatIsCutOff fail before and pass now.

--- a/itest/guards_fleet_test.go
+++ b/itest/guards_fleet_test.go
@@ -250,6 +250,22 @@
 		pkg:  "proxy",
 		test: "TestConfigurationReplacedBeforeDenial",
 	},
+	{
+		rule: "BUDGET: no copy without its turn",
+		file: "node/copies.go",
+		old:  "case ctx.Err() != nil || !s.copies.decidesAlone(time.Now()):",
+		new:  "case false:",
+		pkg:  "node",
+		test: "TestCopyIsNotSentWithoutItsTurn",
+	},
+	{
+		rule: "BUDGET: a restart of all is no first start",
+		file: "poison/copies.go",
+		old:  "if !running.IsZero() && running.Before(first) {",
+		new:  "if false {",
+		pkg:  "poison",
+		test: "TestMayHaveForgotten",
+	},
 	{
 		rule: "LIMIT: tokens of a target",
 		file: "avail/limit.go",
--- a/node/copies.go
+++ b/node/copies.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// turns are the turns of copies at this instance.
 	turns map[poison.Feature]poison.Turn
+	// unheardSince is when another instance was first asked for a turn in vain since one responded.
+	unheardSince time.Time
 }
 
 // updateForgotten decides whether ends of targets may have been forgotten.
@@ -73,10 +75,10 @@
 		return decision
 	}
 	for start := now; ; now = time.Now() {
-		wait := s.node.router.AskCopy(ctx, wire.CopyArgs{
+		wait := s.askTurn(ctx, wire.CopyArgs{
 			Feature: f,
 			ID:      s.copyID(id),
-		}, s.copies.serve).Wait
+		})
 		if wait <= 0 {
 			s.copies.take(now, f, id)
 			if waited := now.Sub(start); waited > 0 {
@@ -102,6 +104,20 @@
 	}
 }
 
+// askTurn returns how long a copy has to wait, or zero if it may be sent.
+func (s *screen) askTurn(ctx context.Context, args wire.CopyArgs) time.Duration {
+	reply, ok := s.node.router.AskCopy(ctx, args, s.copies.serve)
+	switch {
+	case ok:
+		s.copies.recordHeard()
+		return reply.Wait
+	case ctx.Err() != nil || !s.copies.decidesAlone(time.Now()):
+		return copyPoll
+	default:
+		return s.copies.serve(args).Wait
+	}
+}
+
 // endCopy tells that a copy was answered, or not sent.
 func (s *screen) endCopy(id string, features []poison.Feature, answered bool) {
 	f, ok := poison.Repeated(features)
@@ -117,7 +133,9 @@
 	go errs.Contain(&s.node.Log, "screen.endCopy", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), copyEndTimeout)
 		defer cancel()
-		s.node.router.AskCopy(ctx, args, s.copies.serve)
+		if _, ok := s.node.router.AskCopy(ctx, args, s.copies.serve); !ok {
+			s.copies.serve(args)
+		}
 	})
 }
 
@@ -139,6 +157,24 @@
 	}
 }
 
+// recordHeard records that an instance has decided about a turn.
+func (c *copies) recordHeard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unheardSince = time.Time{}
+}
+
+// decidesAlone records that no instance has responded, and reports whether none has for as long as a copy waits: an
+// instance that is cut off decides for itself then, as its callers would all be refused.
+func (c *copies) decidesAlone(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unheardSince.IsZero() {
+		c.unheardSince = now
+	}
+	return now.Sub(c.unheardSince) >= poison.CopyPatience
+}
+
 // drop removes the turn of a copy. It reports whether there was one.
 func (c *copies) drop(f poison.Feature, id string) bool {
 	c.mu.Lock()
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -67,11 +67,12 @@
 	return reply.Granted
 }
 
-// AskCopy asks the instance that decides about copies of a request; own answers if it is this one.
-func (r *Router) AskCopy(ctx context.Context, args wire.CopyArgs, own func(wire.CopyArgs) wire.CopyReply) wire.CopyReply {
+// AskCopy asks the instance that decides about copies of a request; own answers if it is this one. It reports false if
+// none responded, which allows nothing.
+func (r *Router) AskCopy(ctx context.Context, args wire.CopyArgs, own func(wire.CopyArgs) wire.CopyReply) (wire.CopyReply, bool) {
 	r.init()
 	var reply wire.CopyReply
-	r.askHolder(ctx, r.Registry.View(), string(args.Feature), func(isOwn bool, ask func(method string, args, reply any) error) error {
+	holder := r.askHolder(ctx, r.Registry.View(), string(args.Feature), func(isOwn bool, ask func(method string, args, reply any) error) error {
 		if isOwn {
 			reply = own(args)
 			return nil
@@ -83,13 +84,14 @@
 		}
 		return err
 	})
-	return reply
+	return reply, holder != ""
 }
 
 // askHolder lets the instance that grants the tokens of a name be asked, or its deputy while that does not
-// respond: request is called with own if it is this instance, and returns the error of ask otherwise.
-func (r *Router) askHolder(ctx context.Context, view *fleet.View, name string, request holderRequest) {
-	r.askHolderWithin(ctx, holderLimits{
+// respond: request is called with own if it is this instance, and returns the error of ask otherwise. It returns
+// the instance that responded; empty if none did.
+func (r *Router) askHolder(ctx context.Context, view *fleet.View, name string, request holderRequest) string {
+	return r.askHolderWithin(ctx, holderLimits{
 		name:    name,
 		timeout: livenessTimeout,
 		skip: func(instance string) bool {
