--- a/sched/balance.go
+++ b/sched/balance.go
@@ -20,6 +20,8 @@
 	// fraction of its slots, where targets do not state their slowdown; elsewhere
 	// Crossing decides.
 	remoteCost = 0.1
+	// maxTieBreak bounds the random cost that breaks ties.
+	maxTieBreak = 0.01
 	// loadReportTTL is how long a target's own report of its load is used.
 	loadReportTTL = 500 * time.Millisecond
 	// refusalBackoff is how long a target that refused a request is avoided.
@@ -78,6 +80,9 @@
 // Balancer chooses among the targets of plain services, which have no manager. It
 // is safe for concurrent use.
 type Balancer struct {
+	// Random returns random numbers from 0 to 1, which break ties; nil takes those of math/rand.
+	Random func() float64
+
 	mu     sync.Mutex
 	states map[string]*balancerState
 	// crossing decides whether requests leave the data centre, where targets state their slowdown.
@@ -120,6 +125,7 @@
 		if known.states {
 			cost = s.timeCost(now, c, known)
 		}
+		cost += b.tieBreak()
 		if now.Before(s.backoffUntil) {
 			// Used only if every target is in backoff.
 			if !haveFallback || cost < fallbackCost {
@@ -164,9 +170,16 @@
 	if !c.Local {
 		cost += remoteCost
 	}
-	// Random tie-breaking keeps instances that see the same loads from all
-	// choosing the same target.
-	return cost + 0.01*rand.Float64()
+	return cost
+}
+
+// tieBreak returns a small random cost. It keeps instances that see the same loads from all choosing the same target.
+// The caller holds mu.
+func (b *Balancer) tieBreak() float64 {
+	if b.Random != nil {
+		return maxTieBreak * b.Random()
+	}
+	return maxTieBreak * rand.Float64()
 }
 
 // knownLoad summarizes the candidates whose load is known, for those of which nothing is.
@@ -214,8 +227,7 @@
 	if s.slowdown.isKnown() {
 		slowdown = s.slowdown.at(now)
 	}
-	cost := slowdown*(1+load) + errorRateCost*s.currentErrorRate(now)
-	return cost + 0.01*rand.Float64()
+	return slowdown*(1+load) + errorRateCost*s.currentErrorRate(now)
 }
 
 // withinZone returns the candidates of this data centre, or those of others if it pays to send the request there. The
@@ -240,7 +252,7 @@
 		if now.Before(s.backoffUntil) {
 			continue
 		}
-		expected := time.Duration(s.timeCost(now, c, known) * float64(work))
+		expected := time.Duration((s.timeCost(now, c, known) + b.tieBreak()) * float64(work))
 		switch {
 		case c.Local:
 			o.HasLocal, o.Local = true, earliest(o.Local, expected)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -124,6 +124,9 @@
 // is the state of the one instance that does so, which loses it when it ends: another one begins with what the
 // targets report. It is not safe for concurrent use.
 type SlotPool struct {
+	// Random is that of a Balancer.
+	Random func() float64
+
 	balancer Balancer
 	targets  []SlotTarget
 	waiting  []*slotWaiter
@@ -149,6 +152,7 @@
 // SetTargets sets the targets that take requests.
 func (p *SlotPool) SetTargets(now time.Time, targets []SlotTarget) {
 	p.targets = targets
+	p.balancer.Random = p.Random
 	if now.Sub(p.prunedAt) > poolRetention {
 		p.prunedAt = now
 		p.balancer.Prune(now.Add(-poolRetention))
