The guard of older configurations has a test that fails without it

Cause: versions.offer passes on the newest configuration only, so that the check in applyConfig matters where one goroutine overtakes another, which TestConfigurationChanges does not play. Its two writes in a row also reached the instance as one.

Change: TestOvertakenConfigurationIsNotApplied is the test of this guard.

--- a/itest/guards_test.go
+++ b/itest/guards_test.go
@@ -258,8 +258,8 @@
 		file: "node/sources.go",
 		old:  "old != nil && old.Version >= cfg.Version",
 		new:  "false",
-		pkg:  "platform",
-		test: "TestConfigurationChanges",
+		pkg:  "node",
+		test: "TestOvertakenConfigurationIsNotApplied",
 	},
 	{
 		rule: "ROUTE: expected target",
