Test of the bounds by which ends may have been forgotten

TestMayHaveForgottenAtItsBounds goes to the edges of the time for returns, of the ten minutes and of the clocks' error, with the start of the deployment known by the record and by a target. No fault found: it passes on the code as it is.

--- a/poison/copies_test.go
+++ b/poison/copies_test.go
@@ -78,6 +78,39 @@
 	}
 }
 
+// Guards against bounds that hold back copies for longer than ends may be forgotten, or not for as long.
+func TestMayHaveForgottenAtItsBounds(t *testing.T) {
+	const (
+		clockError = 3 * time.Second
+		returns    = 15 * time.Second
+		lately     = 10 * time.Minute
+		restart    = time.Minute
+		step       = time.Millisecond
+	)
+	for _, c := range []struct {
+		name string
+		// now, instance and target are the present, the start of all instances and that of a target, since the
+		// start of the deployment.
+		now      time.Duration
+		instance time.Duration
+		target   time.Duration
+		want     bool
+	}{
+		{"a target starts just within the time for returns", restart + time.Minute, restart, restart + returns - step, true},
+		{"a target starts just after it", restart + time.Minute, restart, restart + returns, false},
+		{"the target has started just less than ten minutes ago", restart + lately - step, restart, restart, true},
+		{"ten minutes ago", restart + lately, restart, restart, false},
+		{"the instances start with the deployment, as far as clocks tell", restart, clockError, restart / 4, false},
+		{"the instances start just later", restart, clockError + step, clockError + step + returns - step, true},
+		{"the target starts with the deployment, as far as clocks tell", 2 * restart, restart, clockError, false},
+		{"the target starts just later", 2 * restart, restart, clockError + step, true},
+	} {
+		instances := []time.Time{at(c.instance), at(c.instance)}
+		require.Equal(t, c.want, poison.MayHaveForgotten(at(c.now), at(0), instances, []time.Time{at(c.target)}), c.name)
+		require.Equal(t, c.want, poison.MayHaveForgotten(at(c.now), time.Time{}, instances, []time.Time{at(0), at(c.target)}), "%s, known by a target", c.name)
+	}
+}
+
 // Guards against equal requests of many callers that wait for each other or are refused on a deployment whose targets come and go while
 // no instance is lost: the start of a target alone is no sign of a forgotten end.
 func TestEqualRequestsPassWhileTargetsComeAndGo(t *testing.T) {
