An instance without changes asks those of the membership record

Cause: the entries of refused instances expire, so that nobody sends them changes. They ask the instances that are or were listed; after a start during the refusal none was. The log shows no message and no reply for 11 s at two instances that knew only each other.

Change: Hub.Recorded gives further instances to ask, in package node those of the membership record, which outlasts processes and entries.

Result: TestInstanceAsksOthersThatAreRecorded fails without the question and passes with it.

--- a/broker/even_allocator.go
+++ b/broker/even_allocator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -375,6 +376,13 @@
 	return len(e.record.Instances)
 }
 
+// RecordedAddrs returns the addresses in the membership record by name. Their instances need not be alive.
+func (e *EvenAllocator) RecordedAddrs() map[string]netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.record.Addrs)
+}
+
 // RunningSince returns a time at which the deployment ran already, which outlasts the instances. It is zero if none has
 // been recorded, and false is returned until that is known.
 func (e *EvenAllocator) RunningSince() (time.Time, bool) {
--- a/itest/guards_fleet_test.go
+++ b/itest/guards_fleet_test.go
@@ -234,6 +234,14 @@
 		pkg:  "watch",
 		test: "TestChangesAreKnownAroundDisturbances",
 	},
+	{
+		rule: "CONFIG: recorded instances are asked",
+		file: "watch/fetch.go",
+		old:  "if h.Recorded != nil {",
+		new:  "if false {",
+		pkg:  "watch",
+		test: "TestInstanceAsksOthersThatAreRecorded",
+	},
 	{
 		rule: "CONFIG: outdated instances do not deny",
 		file: "proxy/proxy.go",
--- a/node/node.go
+++ b/node/node.go
@@ -307,6 +307,7 @@
 		Zone:      n.Settings.Zone,
 		Followers: []*watch.Follower{operatorFollower, targetFollower, n.instanceFollower},
 		Peers:     n.feedPeers,
+		Recorded:  n.recordedPeers,
 		Joined: func() bool {
 			return n.session.Registered() && n.instanceFollower.ListedOnce() || time.Since(n.started) >= maxRegistrationWait
 		},
@@ -356,6 +357,18 @@
 	return peers
 }
 
+// recordedPeers returns the instances of the membership record, which outlasts their entries and this process.
+func (n *Node) recordedPeers() []watch.Peer {
+	var peers []watch.Peer
+	for name, addr := range n.limiter.allocator.RecordedAddrs() {
+		peers = append(peers, watch.Peer{
+			Name: name,
+			Addr: addr,
+		})
+	}
+	return peers
+}
+
 // observePeerTransfer counts the traffic of a call to another instance. Instances that are
 // not known count as being in another data centre.
 func (n *Node) observePeerTransfer(t peer.Transfer) {
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -214,18 +214,27 @@
 	at   time.Time
 }
 
-// formerAndPresentPeers returns the instances that are listed, and those that were.
+// formerAndPresentPeers returns the instances that are listed, those that were, and those that are recorded.
 func (h *Hub) formerAndPresentPeers() []Peer {
 	peers := slices.Clone(h.Peers())
-	listed := make(map[string]bool, len(peers))
+	known := make(map[string]bool, len(peers))
 	for _, p := range peers {
-		listed[p.Name] = true
+		known[p.Name] = true
+	}
+	add := func(p Peer) {
+		if !known[p.Name] {
+			known[p.Name] = true
+			peers = append(peers, p)
+		}
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, r := range h.remembered {
-		if !listed[name] {
-			peers = append(peers, r.peer)
+	for _, r := range h.remembered {
+		add(r.peer)
+	}
+	h.mu.Unlock()
+	if h.Recorded != nil {
+		for _, p := range h.Recorded() {
+			add(p)
 		}
 	}
 	return peers
--- a/watch/hub.go
+++ b/watch/hub.go
@@ -107,6 +107,9 @@
 	Followers []*Follower
 	// Peers returns all known instances, including this one if it is registered.
 	Peers func() []Peer
+	// Recorded returns instances that may run though they are not listed, such as those that a process before this
+	// one knew. They are asked while no other is a source of changes. Nil means none.
+	Recorded func() []Peer
 	// Joined reports whether this instance is registered and has listed the others since.
 	// Before that it is no designated reader, because it does not know its rank. Nil means
 	// that it has joined.
--- a/watch/outdated_test.go
+++ b/watch/outdated_test.go
@@ -370,6 +370,32 @@
 	})
 }
 
+// Guards against an instance that stays outdated because it has never known those that are up to date: since its
+// process started the store has rejected its calls, or those of the others.
+func TestInstanceAsksOthersThatAreRecorded(t *testing.T) {
+	playFleet(t, func(f *testFleet) {
+		i, reader := f.instances[f.listener()], f.reader()
+		i.hub.Recorded = func() []Peer {
+			return []Peer{
+				{
+					Name: reader,
+				},
+			}
+		}
+		i.kv.refuse("")
+		i.hub.mu.Lock()
+		i.hub.remembered = nil
+		i.hub.mu.Unlock()
+		i.mu.Lock()
+		clear(i.members)
+		i.mu.Unlock()
+		f.write(memberPrefix+i.name, "")
+		time.Sleep(time.Second)
+		f.write(valuePrefix+"route", "added")
+		f.requireValue("route", "added")
+	})
+}
+
 // Guards against instances that keep each other up to date while the store rejects all of them: what
 // they say is as old as what they have heard from the store.
 func TestInstancesCutOffTogetherAreNotCurrent(t *testing.T) {
