Its own decisions don't show an instance that it reaches others

Callers: an instance that is cut off would have refused copies that others decide about for as long as it is cut off, if it decides about some itself.

Cause: each decision reset the time since none has responded, its own too.

Change: AskCopy returns the instance that responded; only another one counts.

--- a/node/copies.go
+++ b/node/copies.go
@@ -106,9 +106,11 @@
 
 // askTurn returns how long a copy has to wait, or zero if it may be sent.
 func (s *screen) askTurn(ctx context.Context, args wire.CopyArgs) time.Duration {
-	reply, ok := s.node.router.AskCopy(ctx, args, s.copies.serve)
+	reply, holder := s.node.router.AskCopy(ctx, args, s.copies.serve)
 	switch {
-	case ok:
+	case holder == s.node.Settings.Name:
+		return reply.Wait
+	case holder != "":
 		s.copies.recordHeard()
 		return reply.Wait
 	case ctx.Err() != nil || !s.copies.decidesAlone(time.Now()):
@@ -133,7 +135,7 @@
 	go errs.Contain(&s.node.Log, "screen.endCopy", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), copyEndTimeout)
 		defer cancel()
-		if _, ok := s.node.router.AskCopy(ctx, args, s.copies.serve); !ok {
+		if _, holder := s.node.router.AskCopy(ctx, args, s.copies.serve); holder == "" {
 			s.copies.serve(args)
 		}
 	})
@@ -157,14 +159,14 @@
 	}
 }
 
-// recordHeard records that an instance has decided about a turn.
+// recordHeard records that another instance has decided about a turn.
 func (c *copies) recordHeard() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unheardSince = time.Time{}
 }
 
-// decidesAlone records that no instance has responded, and reports whether none has for as long as a copy waits: an
+// decidesAlone records that no other instance has responded, and reports whether none has for as long as a copy waits: an
 // instance that is cut off decides for itself then, as its callers would all be refused.
 func (c *copies) decidesAlone(now time.Time) bool {
 	c.mu.Lock()
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -67,9 +67,9 @@
 	return reply.Granted
 }
 
-// AskCopy asks the instance that decides about copies of a request; own answers if it is this one. It reports false if
-// none responded, which allows nothing.
-func (r *Router) AskCopy(ctx context.Context, args wire.CopyArgs, own func(wire.CopyArgs) wire.CopyReply) (wire.CopyReply, bool) {
+// AskCopy asks the instance that decides about copies of a request; own answers if it is this one. It returns the
+// instance that responded as well; if that is empty none did, and the reply allows nothing.
+func (r *Router) AskCopy(ctx context.Context, args wire.CopyArgs, own func(wire.CopyArgs) wire.CopyReply) (wire.CopyReply, string) {
 	r.init()
 	var reply wire.CopyReply
 	holder := r.askHolder(ctx, r.Registry.View(), string(args.Feature), func(isOwn bool, ask func(method string, args, reply any) error) error {
@@ -84,7 +84,7 @@
 		}
 		return err
 	})
-	return reply, holder != ""
+	return reply, holder
 }
 
 // askHolder lets the instance that grants the tokens of a name be asked, or its deputy while that does not
