review: two findings as runs of the rig

Added: REVIEW_CASE ahead (requests sent ahead, then a close) and parts (long IDs of prompt parts) in review/rig3. They are no cases.

--- a/review/rig3/main_test.go
+++ b/review/rig3/main_test.go
@@ -15,9 +15,11 @@
 	text   string
 }
 
-// cases are the cases by name.
+// cases are the cases by name, and the findings that are no cases.
 var cases = map[string]func(r *rig) verdict{
-	"slow": runSlow,
+	"slow":  runSlow,
+	"ahead": runAhead,
+	"parts": runParts,
 }
 
 func TestMain(m *testing.M) {
--- a/review/rig3/rig_test.go
+++ b/review/rig3/rig_test.go
@@ -7,7 +7,7 @@
 //	REVIEW_CASE=slow REVIEW_FOLDER=review/14 TROUBLE=0 target/review-rig3
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. Without REVIEW_CASE there is no
-// test to run.
+// test to run. REVIEW_CASE ahead and parts are no cases but findings of KNOWN-RED.txt.
 package rig3
 
 import (
